--- /dev/null
+++ b/include/brackenspoke/balancer.h
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The whole interface of brackenspoke: settings, events, actions and the Balancer that maps one to the other.
+//
+// A Balancer is pure and deterministic. It has no clock, I/O, threads or globals: time comes in with each
+// event and randomness derives from the seed alone. Classes, tenants, zones and kinds are indices into the
+// lists of the settings, so names cannot decide anything.
+#ifndef BRACKENSPOKE_BALANCER_H_
+#define BRACKENSPOKE_BALANCER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace brackenspoke {
+
+// The clock is the caller's; its origin is arbitrary and it only advances.
+struct Clock {
+  using duration = std::chrono::duration<double, std::milli>;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;
+};
+using Duration = Clock::duration;
+using TimePoint = Clock::time_point;
+
+using RequestId = std::uint64_t;
+using ServerId = std::uint32_t;
+
+enum class Effect { kSafe, kKeyed, kUnsafe };
+enum class Group { kAll, kZone, kCell };
+
+struct ClassSettings {
+  Effect effect = Effect::kUnsafe;
+  Group group = Group::kAll;  // keyed classes: the servers that drop each other's repeats
+  Duration window{0};         // keyed classes: how long they remember
+  Duration aim{0};
+  Duration deadline{0};
+  double worth = 1;
+  double late_worth = 0;  // share of the worth that an answer after the aim still earns
+};
+
+struct TenantSettings {
+  double quota_per_s = 0;  // requests a second within its share, over all proxies
+};
+
+// Defaults are the documented meaning of an absent optional setting; none of them steers a decision.
+struct Settings {
+  int balancers = 1;
+  int me = 0;  // the number of this one among them
+  int zone = 0;
+  std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double over_share_worth = 1;
+  double price_cross_zone = 0;
+  bool warm_keys = false;  // a server that served a key lately serves it again with less work
+  bool must_ask_for_list = false;
+  int max_attempts = 1;
+  Duration max_retry_after{0};  // the longest that refused clients stay away when told; 0: they are not told
+  Duration tick{1};
+  Duration must_ask_within{0};  // where the list must be asked for
+  double cold_from = 1;         // a starting server has at least this share of its capacity
+  Duration warm_up{0};          // and all of it no later than this
+  double fall_multiple = 1;     // it falls over when sent more than this multiple of its capacity
+  Duration overload_for{0};     // for this long
+};
+
+enum class ServerState { kGone, kReady, kDraining };
+enum class ListKind { kDelta, kFull, kCached, kFailed };
+
+struct ServerEntry {
+  ServerId server = 0;
+  int zone = 0;
+  int kind = 0;
+  int cell = 0;
+  ServerState state = ServerState::kReady;
+  double weight = 1;
+  TimePoint up_since{};  // zero: long ago
+};
+
+// How an attempt ended. Full, connect failed and moot prove that it never ran.
+enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kUnknown };
+
+// ---- events -------------------------------------------------------------------------------------------
+struct ListUpdate {
+  ListKind kind = ListKind::kDelta;
+  std::vector<ServerEntry> entries;
+};
+struct Submit {
+  RequestId request = 0;
+  TimePoint due{};  // the client gives this try up then
+  int request_class = 0;
+  int tenant = 0;
+  std::uint64_t key = 0;  // 0: none
+  bool has_hint = false;
+  bool client_retry = false;
+  double work_ms = 0;  // hinted work on a standard core
+};
+struct StreamStarted {
+  RequestId request = 0;
+  int attempt = 0;
+};
+struct AttemptEnded {
+  RequestId request = 0;
+  int attempt = 0;
+  ServerId server = 0;
+  bool settled = false;  // the request has its final answer
+  Outcome outcome = Outcome::kUnknown;
+  Duration took{0};
+};
+struct ClientGone {
+  RequestId request = 0;
+};
+struct TimerFired {
+  std::uint64_t token = 0;
+};
+using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired>;
+
+// ---- actions ------------------------------------------------------------------------------------------
+struct Dispatch {
+  RequestId request = 0;
+  ServerId server = 0;
+  Duration timeout{0};  // 0: until the client gives up
+};
+struct Refuse {  // final; tells the client that another try is harmless
+  RequestId request = 0;
+  Duration retry_after{0};  // 0: no advice
+};
+struct Fail {  // final; promises nothing
+  RequestId request = 0;
+};
+struct SetTimer {
+  TimePoint at{};
+  std::uint64_t token = 0;
+};
+struct Subscribe {};  // ask discovery for the changes from here on
+struct CloseIdle {    // close this proxy's idle connections to a server
+  ServerId server = 0;
+};
+struct Log {
+  std::string text;
+};
+using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log>;
+
+class Balancer {
+ public:
+  Balancer(Settings settings, std::uint64_t seed);
+  ~Balancer();
+  Balancer(Balancer&&) noexcept;
+  Balancer& operator=(Balancer&&) noexcept;
+
+  // Appends what is to be done at `now` because of `event`. Ignores what it does not know; never throws on
+  // the content of an event.
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace brackenspoke
+
+#endif  // BRACKENSPOKE_BALANCER_H_
--- /dev/null
+++ b/src/adapter/host.h
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Hosts one Balancer per live instance and carries events and actions between them and the wire.
+#ifndef BRACKENSPOKE_ADAPTER_HOST_H_
+#define BRACKENSPOKE_ADAPTER_HOST_H_
+
+#include <iosfwd>
+#include <map>
+#include <set>
+#include <string>
+
+#include "brackenspoke/balancer.h"
+#include "codec.h"
+
+namespace brackenspoke::adapter {
+
+class Host {
+ public:
+  explicit Host(std::ostream& complaints) : complaints_(complaints) {}
+
+  // The reply frame to a batch.
+  std::string Answer(const Batch& batch);
+
+ private:
+  void Handle(TimePoint now, const Record& record);
+  void TellOnce(const std::string& what);
+
+  std::ostream& complaints_;
+  std::map<std::uint32_t, Balancer> live_;
+  std::set<std::string> told_;
+  ReplyWriter reply_;
+};
+
+}  // namespace brackenspoke::adapter
+
+#endif  // BRACKENSPOKE_ADAPTER_HOST_H_
--- /dev/null
+++ b/src/balance.cpp
@@ -0,0 +1,909 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Every decision of brackenspoke. The types, events and actions are in include/brackenspoke/balancer.h.
+//
+// The ordinary path is gRFC A50 outlier detection (failure percentage) and, among the servers in service, a
+// pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
+// marked "Exception" with the condition under which it acts; docs/design.md lists them all.
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "brackenspoke/balancer.h"
+#include "measures.h"
+
+namespace brackenspoke {
+namespace {
+
+// ---- 1. Constants -------------------------------------------------------------------------------------
+// Outlier detection, in A50's terms.
+constexpr Duration kInterval{2000};          // counts reset: long enough for the volume floor at 2 requests/s
+constexpr Duration kBaseEjectionTime{2000};  // first ejection: as long as one interval
+constexpr Duration kMaxEjectionTime{16000};  // a recovered server is tried again within this
+constexpr int kRequestVolume = 3;  // a proxy sees few requests a server; 3 of 3 failing is no chance
+constexpr Duration kLongestInterval{10000};  // A50's own; where traffic is thin counts have to be kept longer
+constexpr double kByChance = 0.01;      // thin traffic: failures that come together less often are no chance
+constexpr double kPriorFailures = 0.1;  // seen elsewhere before anything is
+constexpr int kMinimumHosts = 2;        // servers to compare with each other
+constexpr double kThreshold = 0.4;      // failure share; well over what noise and overlap produce
+constexpr double kMaxEjectionPercent = 50;  // the rest must be able to carry the load
+constexpr double kEnforcingPercent = 100;   // every finding is enforced
+
+constexpr double kCrossingWeight = 10;  // mean requests of work that the whole crossing price is worth
+constexpr int kLeastSubset = 8;         // half may be ejected, and the rest is still a choice
+constexpr double kWorthStaying = 0.02;  // price of a crossing; below, one even choice is worth more
+constexpr int kFewest = 3;              // where hundreds of proxies share few servers
+constexpr double kMostSharers = 64;     // proxies that hold a connection to one server
+constexpr double kGoldenRatio = 0.6180339887498949;
+constexpr double kZoneGain = 0.1;           // of one answer, in what the own zone and the others lose
+constexpr double kColdCaution = 0.55;       // of the fall multiple: the rest is for chance and for late news
+constexpr double kColdLeast = 0.25;         // standard cores that a warm server has at the very least
+constexpr Duration kWarmRateMemory{30000};  // of what a warm server serves: it does not lose its cores
+constexpr int kYoung = 10;                  // outcomes; before, what is asked stands for what is served
+constexpr double kWindowSlack = 1.1;        // rolling window of the cold budget over the rule's, for delays
+constexpr Duration kRateMemory{8000};       // averaging of work served by warm servers
+constexpr double kRetryRatio = 0.1;         // repeats a first send earns: bounds a storm to a tenth
+constexpr double kRetryBurst = 20;          // repeats in store
+constexpr double kDeviations = 4;           // time-out: mean + 4 deviations, as RFC 6298
+constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
+constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
+constexpr double kChance = 1;               // deviations of the number in flight that are no overload
+constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
+constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
+constexpr double kAimShare = 0.7;      // of their aims that answers may take in the mean: the rest is spread
+constexpr double kAtEase = 0.7;        // of the pressure at which the throttle starts
+constexpr double kComfort = 2.5;       // times the uncrowded time, up to which all is let in
+constexpr double kMostFloor = 4;       // in flight at a proxy while answers come as fast as ever
+constexpr double kCrowdingGain = 0.1;  // of one answer
+constexpr Duration kCrowdingMemory{8000};  // what is not confirmed is forgotten
+constexpr double kMostCrowding = 16;       // one answer counts as no slower than this
+constexpr double kLeastPerServer = 1.5;    // in flight at a server, of all proxies, that are always in order
+constexpr double kStretchGain = 0.01;      // of a slower answer; a faster one counts ten times as much
+constexpr double kSlownessGain = 0.08;     // of one answer
+constexpr double kMostSlowness = 8;        // one answer counts as no slower than this
+constexpr Duration kSlownessMemory{4000};  // what is not confirmed is forgotten
+constexpr double kSlownessWeight = 1;      // of the time lost at a slow server, against work in flight
+constexpr double kSameTime = 0.04;         // part by which times of tries may differ and still be the same
+constexpr int kLeastVotes = 4;             // answers of large requests; one slow one says little
+constexpr int kFirmVotes = 10;             // below, nothing is made of it: clients may differ widely
+constexpr int kMostVotes = 50;             // for the usual time of a try
+constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
+constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
+constexpr int kMostMisses = 8;             // held requests tried in a row without room for any
+constexpr double kMostWork = 1e6;          // ms; a larger hint is taken as this
+constexpr Duration kHousekeeping{100};     // rates are sampled this often
+constexpr Duration kLogGap{1000};          // log lines of ejections and returns no closer than this
+constexpr Duration kLongLogGap{10000};     // others
+constexpr Duration kForgetAfter{600000};   // a server gone for this long loses its state
+
+constexpr TimePoint kNever{Duration(1e300)};
+
+// ---- 2. Outlier detection -----------------------------------------------------------------------------
+// gRFC A50, failure percentage, evaluated at each answer as DESIGN states it.
+class OutlierDetector {
+ public:
+  struct Host {
+    int successes = 0, failures = 0, multiplier = 0;
+    bool ejected = false;
+    TimePoint return_at{};
+    int attempts() const { return successes + failures; }
+  };
+
+  // Running counts over the hosts: an answer must not cost a scan of the fleet.
+  struct Fleet {
+    int hosts = 0, ejected = 0;  // listed as ready; of these out of service
+    // Since the interval began; the last two of hosts in service.
+    int qualifying = 0, failures = 0, attempts = 0;
+    Duration interval{kInterval};
+    bool thin = false;  // traffic does not bring the volume to each host within kInterval
+  };
+
+  // Counts an answer and tests the host; true if it is ejected by it.
+  static bool Record(Host& host, bool success, TimePoint now, Fleet& fleet, Random& random) {
+    ++(success ? host.successes : host.failures);
+    fleet.qualifying += host.attempts() == (fleet.thin ? 1 : kRequestVolume);
+    if (host.ejected) return false;
+    fleet.failures += !success;
+    ++fleet.attempts;
+    if (fleet.qualifying < kMinimumHosts) return false;
+    // The threshold rises with the share failing elsewhere, to twice that while it is small and to 1 with it:
+    // an overloaded fleet must not eject itself, but a server failing always goes, however bad the rest.
+    const int others_failed = fleet.failures - host.failures, others = fleet.attempts - host.attempts();
+    const double elsewhere = others > 0 ? static_cast<double>(others_failed) / others : 0;
+    const double threshold = std::max(kThreshold, elsewhere * (2 - elsewhere));
+    if (host.attempts() < Volume(fleet, others_failed, others)) return false;
+    if (!(host.failures > threshold * host.attempts())) return false;
+    if (!(100.0 * fleet.ejected < kMaxEjectionPercent * fleet.hosts)) return false;
+    if (!(100.0 * random.Unit() < kEnforcingPercent)) return false;
+    ++host.multiplier;
+    host.ejected = true;
+    ++fleet.ejected;
+    fleet.failures -= host.failures;
+    fleet.attempts -= host.attempts();
+    const Duration base = fleet.interval * (kBaseEjectionTime / kInterval);
+    host.return_at = now + std::min(base * host.multiplier, std::max(base, kMaxEjectionTime)) *
+                               (fleet.thin ? 0.75 + 0.5 * random.Unit() : 1);
+    return true;
+  }
+
+  // Exception, where traffic is thin: the volume floor is never met there, so it falls to as many attempts as
+  // could hardly all fail by chance, going by the share that fails elsewhere. Proxies learn of a failure one
+  // by one then, and return times are spread so that they do not come back to the server in step.
+  static int Volume(const Fleet& fleet, int others_failed, int others) {
+    if (!fleet.thin) return kRequestVolume;
+    const double elsewhere = (others_failed + kPriorFailures) / (others + 1);
+    return elsewhere >= 1
+               ? kRequestVolume
+               : std::min<int>(kRequestVolume, std::ceil(std::log(kByChance) / std::log(elsewhere)));
+  }
+  static bool ReturnIfDue(Host& host, TimePoint now) {
+    if (!host.ejected || now < host.return_at) return false;
+    host.ejected = false;
+    host.multiplier = std::max(0, host.multiplier - 1);
+    return true;
+  }
+  static void EndInterval(Host& host) {
+    host.successes = host.failures = 0;
+    if (!host.ejected) host.multiplier = std::max(0, host.multiplier - 1);
+  }
+};
+
+// ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
+struct Server {
+  ServerEntry entry;
+  TimePoint gone_since{};
+  int in_list = 0;      // the last complete list that named it
+  double own_work = 0;  // hinted, of this proxy, in flight
+  int own_count = 0;
+  OutlierDetector::Host health;
+  SentWindow sent;
+  TimePoint turn_since{};  // cold: the last send to it, or its start as told
+  double turn_phase = 1;   // part of the time between sends that has to pass
+  double slowness = 1;     // time of its answers over what the fleet takes for the like
+  TimePoint slowness_at{};
+  TimePoint quiet_since{};
+};
+
+// What may be done with a request now.
+struct Permission {
+  bool dispatch = false;
+  bool refuse = false;
+  const Server* group_of = nullptr;  // if set: only to servers that drop this one's repeats
+};
+
+}  // namespace
+
+class Balancer::Impl {
+ public:
+  Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
+    classes_.resize(settings_.classes.size());
+    tenant_tokens_.resize(settings_.tenants.size(), 1);
+  }
+
+  void Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
+    now_ = now;
+    out_ = actions;
+    std::visit([this](const auto& e) { On(e); }, event);  // first: a list may forbid what is due
+    Advance();
+    PlaceHeld();
+    Arm();
+    out_ = nullptr;
+  }
+
+ private:
+  // ---- 3. Pick ----------------------------------------------------------------------------------------
+  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
+
+  ServerIndex IndexOf(const Server& s) const { return static_cast<ServerIndex>(&s - servers_.data()); }
+
+  bool Tried(const Request& r, const Server& s) const {
+    return std::any_of(r.attempts.begin(), r.attempts.end(),
+                       [&](const Attempt& a) { return a.server == IndexOf(s); });
+  }
+
+  bool InGroup(const Request& r, const Server& anchor, const Server& s) const {
+    switch (settings_.classes[r.cls].group) {
+      case Group::kAll:
+        return true;
+      case Group::kZone:
+        return s.entry.zone == anchor.entry.zone;
+      case Group::kCell:
+        return s.entry.cell == anchor.entry.cell && s.entry.zone == anchor.entry.zone;
+    }
+    return false;
+  }
+
+  // Least own hinted work in flight, ties at random. Exceptions: a crossing of zones counts as the work that
+  // its price is worth; where keys are warm, a server that met this one lately serves it with less work, and
+  // what it saves serves others; those over their cold budget are passed over; those it has
+  // tried come last; if no server of the group is in service, an ejected one is used: never a lost request.
+  Server* Pick(const Request& r, const Permission& permission) {
+    bool in_service = false;  // some server is in service, though without room now
+    Server* best = permission.group_of ? nullptr : PickFrom(subset_, r, permission, &in_service);
+    if (!best && (permission.group_of || subset_.size() < ring_.size()))
+      best = PickFrom(ring_, r, permission, &in_service);
+    return best;
+  }
+
+  Server* PickFrom(const std::vector<ServerIndex>& from, const Request& r, const Permission& permission,
+                   bool* in_service) {
+    const bool home_first = settings_.price_cross_zone > 0 && random_.Unit() < home_first_;
+    const double crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
+    Server* best = nullptr;
+    int best_rank = 0;
+    double best_score = 0;
+    int ties = 0;
+    for (const ServerIndex index : from) {
+      Server& s = servers_[index];
+      if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) continue;
+      *in_service |= !s.health.ejected;
+      if (!FitsColdBudget(s, r.work)) {
+        if (MayLog(kCold))
+          LogLine("server " + std::to_string(s.entry.server) + " held back: cold, at " +
+                  std::to_string(static_cast<int>(100 * WarmShare(s))) + "% or more of its capacity");
+        continue;
+      }
+      const int rank = 2 * s.health.ejected + Tried(r, s);
+      const bool crosses = s.entry.zone != settings_.zone;
+      const double score =
+          s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
+          (r.key != 0 && key_memory_.Warm(r.key, IndexOf(s), now_) ? kWarmWeight * r.work : 0) +
+          (crosses && home_first ? crossing : 0);
+      if (best && (rank > best_rank || (rank == best_rank && score > best_score))) continue;
+      const bool tie = best && rank == best_rank && score == best_score;
+      ties = tie ? ties + 1 : 1;
+      if (tie && random_.Below(ties) != 0) continue;
+      best = &s;
+      best_rank = rank;
+      best_score = score;
+    }
+    return best && best_rank >= 2 && *in_service ? nullptr : best;
+  }
+
+  // Exception, subsetting, where this proxy's own traffic is too thin to judge the whole fleet: it picks
+  // among as many servers as its traffic brings to the volume floor within kInterval, but no fewer than
+  // kLeastSubset, those in service counted. Proxies stand evenly on a ring of the servers, by the golden
+  // ratio, so that any part of them covers it evenly; servers stand on it by a hash of their id. Without
+  // this, every proxy held a connection to every server, and hundreds of proxies exhausted what servers
+  // accept (incident i0f08a6).
+  void BuildSubset() {
+    std::erase_if(ring_, [this](ServerIndex i) { return !Usable(servers_[i]); });
+    const std::vector<ServerIndex> before = std::exchange(subset_, {});
+    const double shared = kMostSharers * static_cast<double>(ring_.size()) / settings_.balancers;
+    const std::size_t size =
+        std::max(judged_, static_cast<std::size_t>(std::clamp<double>(shared, kFewest, kLeastSubset)));
+    std::vector<ServerIndex> home, away;
+    for (const ServerIndex i : ring_) {
+      const bool near =
+          settings_.price_cross_zone > kWorthStaying && servers_[i].entry.zone == settings_.zone;
+      (near ? home : away).push_back(i);
+    }
+    AddArc(home, size);
+    AddArc(away, size);
+    for (const ServerIndex i : before) {
+      if (Usable(servers_[i]) && std::find(subset_.begin(), subset_.end(), i) == subset_.end())
+        out_->push_back(CloseIdle{servers_[i].entry.server});
+    }
+  }
+
+  void AddArc(const std::vector<ServerIndex>& ring, std::size_t size) {
+    const double turns = settings_.me * kGoldenRatio;
+    const double start = (turns - std::floor(turns)) * static_cast<double>(ring.size());
+    std::size_t in_service = 0;
+    for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
+      const ServerIndex i = ring[(static_cast<std::size_t>(start) + k) % ring.size()];
+      subset_.push_back(i);
+      in_service += !servers_[i].health.ejected;
+    }
+  }
+
+  void ResizeSubset() {
+    const double per_s = asked_rate_ * 1000 / std::max(1e-9, request_work_.mean);
+    const double volume_s = kRequestVolume * static_cast<double>(subset_.size()) / std::max(per_s, 1e-9);
+    fleet_.interval = std::clamp(Duration(volume_s * 1000), kInterval, kLongestInterval);
+    fleet_.thin = fleet_.interval > kInterval;
+    const auto judged = static_cast<std::size_t>(per_s * kInterval.count() / 1000 / kRequestVolume);
+    // Not for every wobble of the rate: each new server costs a connection.
+    if (judged <= judged_ && judged * 2 >= judged_) return;
+    judged_ = judged;
+    BuildSubset();
+  }
+
+  // Exception, when the own zone serves worse than the others by more than a crossing costs: with few
+  // requests in flight the least-work pick cannot see that the home servers are full, and the price of
+  // crossing kept every request there while other zones stood idle (incident ib02092). The price counts in
+  // the share of picks that this finding leaves.
+  void LearnZone(const Request& r, const Server& s, bool in_time, bool ok) {
+    const double lost = in_time ? 0 : ok ? 1 - settings_.classes[r.cls].late_worth : 1;
+    const bool home = s.entry.zone == settings_.zone;
+    double& seen = home ? lost_home_ : lost_away_;
+    seen += kZoneGain * (lost - seen);
+    if (home) lost_away_ *= 1 - kZoneGain / 4;  // what is not looked at any more may have recovered
+    const bool leave = lost_home_ - lost_away_ > settings_.price_cross_zone;
+    home_first_ = std::clamp(home_first_ + (leave ? -kZoneGain : kZoneGain), 0.0, 1.0);
+  }
+
+  // ---- 4. Cold-start budget ---------------------------------------------------------------------------
+  // The share of its capacity that a server has at least.
+  double WarmShare(const Server& s) const {
+    if (s.entry.up_since.time_since_epoch().count() <= 0) return 1;
+    const double age = (now_ - s.entry.up_since).count();
+    const double warm_up = settings_.warm_up.count();
+    if (warm_up <= 0 || age >= warm_up) return 1;
+    return settings_.cold_from + (1 - settings_.cold_from) * std::max(0.0, age) / warm_up;
+  }
+
+  // A cold server gets, over the rule's window, its share of what a warm one serves for this proxy. All
+  // proxies doing so, their sum is that share of what a warm server can do, whatever part of the traffic each
+  // has. What was sent is no measure: an overloaded fleet is sent far more than it can do. Where that budget
+  // is less than a request, one may go when the budget has paid for it, the first at a random point of that
+  // time: hundreds of proxies that each allowed themselves a first one at once pushed servers over.
+  bool FitsColdBudget(Server& s, double work) {
+    const double share = WarmShare(s);
+    if (share >= 1) return true;
+    const Duration window = settings_.overload_for * kWindowSlack;
+    const double sent = s.sent.Within(now_, window);
+    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_;
+    if (sent + work <= rate * settings_.overload_for.count()) return true;
+    const double least = settings_.fall_multiple * settings_.cold_from * kColdLeast / settings_.balancers;
+    const double paid = std::max(rate, least);
+    return paid > 0 && now_ - s.turn_since >= s.turn_phase * std::max(window, Duration(work / paid));
+  }
+
+  // Work a ms that a warm server serves for this proxy. Pooled over the fleet, as one server's own answers
+  // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
+  // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
+  // starved itself.
+  void LearnWarmRate(Duration elapsed) {
+    if (in_service_ <= 0) return;
+    const double now_rate =
+        (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) / in_service_;
+    warm_rate_ += std::min(1.0, elapsed / kWarmRateMemory) * (now_rate - warm_rate_);
+    warm_rate_ = std::max(warm_rate_, now_rate);
+  }
+
+  // ---- 5. Attempts ------------------------------------------------------------------------------------
+  // The one place that decides whether a request may be dispatched (again) or refused.
+  Permission Permitted(const Request& r) const {
+    Permission may;
+    if (r.finished || r.streaming) return may;
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Attempt* first_run = nullptr;
+    for (const Attempt& a : r.attempts) {
+      if (a.may_have_run && !first_run) first_run = &a;
+    }
+    const int outstanding = r.outstanding();
+    may.dispatch =
+        now_ < r.due && static_cast<int>(r.attempts.size()) < settings_.max_attempts && outstanding == 0;
+    may.refuse = true;
+    if (!first_run || c.effect == Effect::kSafe) return may;
+    may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
+    if (c.effect == Effect::kUnsafe || now_ - first_run->sent_at > c.window * kWindowMargin)
+      may.dispatch = false;
+    if (may.dispatch) may.group_of = &servers_[first_run->server];
+    return may;
+  }
+
+  void Finish(Request& r, Duration retry_after = Duration(0)) {
+    const Permission may = Permitted(r);
+    if (MayLog(kEnding))
+      LogLine((may.refuse ? "refusing: " : "failing: ") +
+              (r.attempts.empty()
+                   ? "not in time"
+                   : "last at server " + std::to_string(servers_[r.attempts.back().server].entry.server)) +
+              "; " + std::to_string(in_flight_) + " in flight, " + std::to_string(held_.size()) + " held");
+    if (may.refuse) {
+      out_->push_back(Refuse{r.id, retry_after});
+    } else {
+      out_->push_back(Fail{r.id});
+    }
+    r.finished = true;
+  }
+
+  // Only a server that has gone silent gets a time-out short of the client's own: it owes answers, and has
+  // owed them for longer than this class takes by mean + kDeviations deviations. Timing out what was merely
+  // late doubled its work on every site. Zero also where no repeat is permitted or would come in time.
+  Duration TimeoutFor(const Request& r, const Server& s) const {
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Spread& seen = classes_[r.cls].latency;
+    if (c.effect == Effect::kUnsafe || seen.samples < 10 || s.own_count == 0 || retry_tokens_ < 1)
+      return Duration(0);
+    if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
+    const double scale = WorkScale(r);
+    const Duration repeat((seen.mean + seen.deviation) * scale);
+    const Duration unlikely((seen.mean + kDeviations * seen.deviation) * scale);
+    if (now_ - s.quiet_since < unlikely || now_ + unlikely + repeat > r.due) return Duration(0);
+    return unlikely;
+  }
+
+  double WorkScale(const Request& r) const {
+    const double mean = classes_[r.cls].work.mean;
+    const double ratio = mean > 0 ? r.work / mean : 1;
+    return ratio > 1 ? ratio : 0.5 + 0.5 * ratio;
+  }
+
+  void Send(Request& r, Server& s) {
+    const bool first = r.attempts.empty();
+    if (first) {
+      retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + kRetryRatio);
+    } else {
+      retry_tokens_ = std::max(0.0, retry_tokens_ - 1);
+    }
+    const Duration timeout = TimeoutFor(r, s);
+    if (s.own_count == 0) s.quiet_since = now_;
+    ++in_flight_;
+    s.own_work += r.work;
+    ++s.own_count;
+    if (WarmShare(s) < 1) s.sent.Add(now_, r.work);
+    s.turn_since = now_, s.turn_phase = 1;
+    if (settings_.warm_keys && r.key != 0) key_memory_.Met(r.key, IndexOf(s), now_);
+    Attempt attempt;
+    attempt.server = IndexOf(s);
+    attempt.sent_at = now_;
+    r.attempts.push_back(attempt);
+    out_->push_back(Dispatch{r.id, s.entry.server, timeout});
+  }
+
+  void On(const AttemptEnded& e) {
+    const auto found = requests_.find(e.request);
+    if (found == requests_.end()) return;
+    Request& r = found->second;
+    if (e.attempt < 0 || e.attempt >= static_cast<int>(r.attempts.size())) return;
+    Attempt& a = r.attempts[e.attempt];
+    if (!a.outstanding) return;
+    a.outstanding = false;
+    a.may_have_run =
+        !(e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot);
+    Learn(r, e, servers_[a.server]);
+    room_ = true;
+    if (e.settled) r.finished = true;
+    if (!r.finished && r.outstanding() == 0 && !r.held)
+      Again(r, a.may_have_run || e.outcome == Outcome::kFull);
+    Forget(found);
+  }
+
+  // After a failed attempt: another one where permitted, within the budget of repeats if it adds load.
+  void Again(Request& r, bool adds_load) {
+    if (!Permitted(r).dispatch || (adds_load && retry_tokens_ < 1)) return Finish(r);
+    r.refuse_at = std::max(r.refuse_at, std::min(r.due - settings_.tick * 2, now_ + settings_.tick * 4));
+    Place(r);
+  }
+
+  void Learn(const Request& r, const AttemptEnded& e, Server& s) {
+    --in_flight_;
+    s.own_work -= r.work;
+    if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
+    if (--s.own_count == 0) s.own_work = 0;
+    const bool ok = e.outcome == Outcome::kOk;
+    if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnknown)
+      return;
+    outcomes_ = std::min(kYoung, outcomes_ + 1);
+    if (ok) served_work_ += r.work, ++answered_;
+    const double took = e.took.count();
+    LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
+    const bool timed = ok || e.outcome == Outcome::kTimeout;
+    if (timed && std::isfinite(took) && took >= 0) {
+      Spread& seen = classes_[r.cls].latency;
+      seen.Add(took / WorkScale(r));
+      const double relative = std::min(kMostSlowness, took / WorkScale(r) / std::max(seen.mean, 1e-9));
+      s.slowness = SlownessOf(s);
+      s.slowness += kSlownessGain * (relative - s.slowness);
+      s.slowness_at = now_;
+    }
+    if (timed && stretch_ > 0 && took > 0) {
+      const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
+                                    0.5 * settings_.classes[r.cls].aim.count());
+      crowding_ += kCrowdingGain * (std::min(took / usual, kMostCrowding) - crowding_);
+      of_aim_ +=
+          kCrowdingGain * (std::min(took / settings_.classes[r.cls].aim.count(), kMostCrowding) - of_aim_);
+    }
+    if (ok && r.work >= request_work_.mean && took > 0) {
+      const double x = took / r.work;
+      const double gain = x < stretch_ ? 10 * kStretchGain : kStretchGain;
+      stretch_ += (++stretch_votes_ <= kFirmVotes ? 1.0 / stretch_votes_ : gain) * (x - stretch_);
+    }
+    if (!OutlierDetector::Record(s.health, ok, now_, fleet_, random_)) return;
+    fleet_.ejected -= !Usable(s);  // a draining server's late answers may fail too
+    next_return_ = std::min(next_return_, s.health.return_at);
+    FleetChanged();
+    if (fleet_.thin) out_->push_back(CloseIdle{s.entry.server});  // others may need the place
+    if (MayLog(kHealth)) {
+      LogLine("server " + std::to_string(s.entry.server) + " ejected: " + std::to_string(s.health.failures) +
+              " of " + std::to_string(s.health.attempts()) + " attempts failed");
+    }
+  }
+
+  // What is not confirmed is forgotten.
+  double SlownessOf(const Server& s) const {
+    return 1 + (s.slowness - 1) * std::exp((s.slowness_at - now_) / kSlownessMemory);
+  }
+
+  void Forget(std::unordered_map<RequestId, Request>::iterator it) {
+    if (it->second.finished) Unhold(it->second);
+    if (it->second.finished && it->second.outstanding() == 0) requests_.erase(it);
+  }
+
+  // ---- 6. Admission -----------------------------------------------------------------------------------
+  // Exception, when the whole fleet is slow: by Little's law requests in flight are those answered a ms times
+  // their time; more in flight than kQueueShare of the aim at the rate of late could only queue, and more
+  // than kCrowding times what requests take uncrowded makes some servers slower the more they hold: once
+  // there, a fleet stayed at a fifth of its rate for as long as the load lasted (incident i42a2e5). The rest
+  // is held here, the most worth first, and refused while a try later can still be of use. Counted, not
+  // weighed: one huge request must neither be shut out nor shut out all others.
+  bool FitsProxy() const {
+    const double least = std::max(Floor(), kLeastPerServer * listed_ / settings_.balancers);
+    const double uncrowded = stretch_ > 0 ? stretch_ * request_work_.mean : mean_aim_.mean;
+    const double useful = std::min(kQueueShare * mean_aim_.mean, kCrowding * uncrowded);
+    const double mean = served_rate_ * useful;
+    return in_flight_ < std::max(least, mean + kChance * std::sqrt(mean));
+  }
+
+  // In flight at the least, which with many proxies bounds what servers hold: fewer, the more crowded they
+  // are.
+  double Floor() const { return std::clamp(1.5 * kMostFloor / std::max(crowding_, 0.1), 1.0, kMostFloor); }
+
+  // Exception, where traffic is thin: a limit of one or two in flight is too coarse to keep servers from
+  // choking. Arrivals are refused by chance, by how crowded answers are and how much of their aims they take
+  // (a fleet with a third of it gone answered everything, half of it late: i6ba857); those over their tenant
+  // share go first.
+  bool Throttled(const Request& r) {
+    const double pressure = Pressure();
+    if (!fleet_.thin || pressure <= 1) return false;
+    const bool over_share = r.value < settings_.classes[r.cls].worth;
+    return random_.Unit() > std::pow(pressure, over_share ? -4 : -2);
+  }
+
+  double Pressure() const { return std::max(crowding_ / kComfort, of_aim_ / kAimShare); }
+
+  bool WithinShare(int tenant) {
+    if (tenant < 0 || tenant >= static_cast<int>(tenant_tokens_.size())) return true;
+    double& tokens = tenant_tokens_[tenant];
+    if (tokens < 1) return false;
+    tokens -= 1;
+    return true;
+  }
+
+  // Exception: what has passed of a client's deadline has passed of its aim. A client's last try has what is
+  // left of its deadline, all others of a class have the same time: the usual one, found by vote.
+  Duration Elapsed(const Submit& e) {
+    const ClassSettings& c = settings_.classes[e.request_class];
+    UsualTime& usual = classes_[e.request_class].usual_time;
+    const Duration left = e.due - now_;
+    const bool as_usual = std::abs((left - usual.time).count()) <= kSameTime * usual.time.count();
+    if (as_usual) {
+      usual.votes = std::min(kMostVotes, usual.votes + 1);
+    } else if (!e.client_retry && --usual.votes < 0) {
+      usual.time = left;
+      usual.votes = 0;
+    }
+    if (usual.votes < kFirmVotes) return Duration(0);
+    const Duration at_most = std::max(Duration(0), c.deadline - left);
+    return !as_usual ? at_most : e.client_retry ? at_most * 0.5 : Duration(0);
+  }
+
+  void On(const Submit& e) {
+    if (requests_.count(e.request)) return;
+    Request r;
+    r.id = e.request;
+    r.due = e.due;
+    r.arrived = now_;
+    r.key = e.key;
+    if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
+      // Nothing is known of what it may do twice, and it never ran: the client may try again.
+      out_->push_back(Refuse{r.id, Duration(0)});
+      return;
+    }
+    r.cls = e.request_class;
+    const ClassSettings& c = settings_.classes[r.cls];
+    const Duration aim = c.aim - Elapsed(e);
+    const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
+    r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
+    if (hinted || request_work_.samples == 0) {
+      request_work_.Add(r.work);
+      classes_[r.cls].work.Add(r.work);
+    }
+    mean_aim_.Add(c.aim.count());
+    asked_work_ += r.work;
+    r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
+    // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
+    // such finding weakens the next: a slow spell must not shut a class out for good.
+    const bool at_ease = fleet_.thin && Pressure() < kAtEase;  // it takes nobody's place, and may be lucky
+    const Duration alone(at_ease || stretch_votes_ < kLeastVotes ? 0 : r.work * stretch_);
+    if (alone > aim) r.value *= now_ + alone > r.due ? 0 : c.late_worth;
+    if (alone > c.aim) stretch_ *= 1 - 5 * kStretchGain;
+    if (r.value <= 0 || Throttled(r)) return Finish(r, StayAway(r));
+    const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
+    r.refuse_at = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
+    Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
+    Place(kept);
+    Forget(requests_.find(e.request));
+  }
+
+  // Exception, where clients listen: one whose aim could not be met would come back only to be late, and take
+  // the place of one in time. It is told to stay away for as long as it would have come back.
+  Duration StayAway(const Request& r) const {
+    return std::min(settings_.max_retry_after, settings_.classes[r.cls].deadline);
+  }
+
+  // Sends the request or holds it; true if sent.
+  bool Place(Request& r) {
+    const Permission may = Permitted(r);
+    Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
+    if (s) {
+      Unhold(r);
+      Send(r, *s);
+      return true;
+    }
+    if (!may.dispatch || now_ >= r.refuse_at) {
+      Finish(r, StayAway(r));
+    } else if (!r.held) {
+      r.held = true;
+      held_.emplace(-r.value, -r.arrived.time_since_epoch(), r.id);
+      wakeups_.emplace(r.refuse_at, r.id);
+    }
+    return false;
+  }
+
+  void Unhold(Request& r) {
+    if (r.held) held_.erase({-r.value, -r.arrived.time_since_epoch(), r.id});
+    r.held = false;
+  }
+
+  void PlaceHeld() {
+    if (!room_) return;
+    room_ = false;
+    int misses = 0;
+    for (auto it = held_.begin(); it != held_.end() && misses < kMostMisses;) {
+      const RequestId id = std::get<2>(*it++);
+      const auto found = requests_.find(id);
+      misses += !Place(found->second);
+      Forget(found);
+    }
+  }
+
+  void On(const ClientGone& e) {
+    const auto found = requests_.find(e.request);
+    if (found == requests_.end()) return;
+    found->second.finished = true;
+    Forget(found);
+  }
+
+  void On(const StreamStarted& e) {
+    const auto found = requests_.find(e.request);
+    if (found != requests_.end()) found->second.streaming = true;
+  }
+
+  void On(const TimerFired&) {}
+
+  // ---- 7. Discovery -----------------------------------------------------------------------------------
+  void On(const ListUpdate& e) {
+    if (settings_.must_ask_for_list) FollowUp(e.kind);
+    if (e.kind == ListKind::kFailed) return;
+    if (e.kind != ListKind::kDelta) {
+      ++list_;
+      for (const ServerEntry& entry : e.entries) {
+        if (const auto found = index_.find(entry.server); found != index_.end())
+          servers_[found->second].in_list = list_;
+      }
+      for (Server& s : servers_) {
+        if (s.in_list != list_) SetState(s, ServerState::kGone);
+      }
+    }
+    for (const ServerEntry& entry : e.entries) {
+      const bool added = index_.count(entry.server) == 0;
+      if (added) index_[entry.server] = NewServer();
+      Server& s = servers_[index_[entry.server]];
+      const ServerState before = s.entry.state;
+      const bool started = added || entry.up_since != s.entry.up_since;
+      s.entry = entry;
+      s.entry.state = before;
+      SetState(s, entry.state);
+      if (!started || WarmShare(s) >= 1) continue;
+      s.sent.Clear();
+      s.turn_since = now_, s.turn_phase = random_.Unit();
+    }
+    ring_.clear();
+    for (const Server& s : servers_) ring_.push_back(IndexOf(s));
+    std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) {
+      return std::pair(MixBits(servers_[a].entry.server), a) <
+             std::pair(MixBits(servers_[b].entry.server), b);
+    });
+    FleetChanged();
+    room_ = true;
+  }
+
+  // The place of a server gone so long that no request can remember it, or a new one.
+  ServerIndex NewServer() {
+    const auto old = std::find_if(servers_.begin(), servers_.end(), [this](const Server& s) {
+      return s.entry.state == ServerState::kGone && s.own_count == 0 && now_ - s.gone_since > kForgetAfter;
+    });
+    const auto place = static_cast<ServerIndex>(old - servers_.begin());
+    if (place == servers_.size()) {
+      servers_.emplace_back();
+    } else {
+      index_.erase(servers_[place].entry.server);
+      servers_[place] = Server();
+    }
+    servers_[place].entry.state = ServerState::kGone;
+    servers_[place].gone_since = now_;
+    return place;
+  }
+
+  void SetState(Server& s, ServerState state) {
+    if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
+    const int ready = (state == ServerState::kReady) - Usable(s);
+    fleet_.hosts += ready;
+    fleet_.ejected += s.health.ejected ? ready : 0;
+    s.entry.state = state;
+  }
+
+  // Servers that are listed, and that are in service; a cold one counts as its share.
+  void CountCapacity() {
+    listed_ = in_service_ = 0;
+    some_cold_ = false;
+    for (const Server& s : servers_) {
+      if (!Usable(s)) continue;
+      const double share = WarmShare(s);
+      some_cold_ |= share < 1;
+      listed_ += share;
+      in_service_ += s.health.ejected ? 0 : share;
+    }
+  }
+
+  // After a change of what is listed or in service.
+  void FleetChanged() {
+    CountCapacity();
+    BuildSubset();
+  }
+
+  void FollowUp(ListKind kind) {
+    if (kind == ListKind::kCached) {
+      ask_at_ = now_;  // a new life: nothing is subscribed yet
+    } else if (kind == ListKind::kFailed) {
+      // Jittered backoff, from a twentieth to a quarter of the time within which the rules want a call.
+      ask_backoff_ =
+          std::min(settings_.must_ask_within / 4, std::max(settings_.must_ask_within / 20, ask_backoff_ * 2));
+      ask_at_ = now_ + ask_backoff_ * (0.5 + 0.5 * random_.Unit());
+    } else {
+      ask_backoff_ = Duration(0);
+      ask_at_ = kNever;
+    }
+  }
+
+  // ---- Time -------------------------------------------------------------------------------------------
+  void Advance() {
+    if (now_ >= armed_) armed_ = kNever;
+    if (now_ >= next_return_) ReturnServers();
+    if (now_ >= interval_end_) {
+      interval_end_ = now_ + fleet_.interval;
+      fleet_.qualifying = fleet_.failures = fleet_.attempts = 0;
+      for (Server& s : servers_) OutlierDetector::EndInterval(s.health);
+    }
+    if (now_ >= sample_at_) Sample();
+    if (now_ >= ask_at_) {
+      out_->push_back(Subscribe{});
+      ask_at_ = now_ + settings_.must_ask_within / 2;  // an answer may never come
+    }
+    while (!wakeups_.empty() && wakeups_.begin()->first <= now_) {
+      const auto found = requests_.find(wakeups_.begin()->second);
+      wakeups_.erase(wakeups_.begin());
+      if (found == requests_.end()) continue;
+      Request& r = found->second;
+      if (r.held && now_ >= r.refuse_at) Finish(r, StayAway(r));
+      Forget(found);
+    }
+  }
+
+  void ReturnServers() {
+    next_return_ = kNever;
+    for (Server& s : servers_) {
+      if (OutlierDetector::ReturnIfDue(s.health, now_)) {
+        room_ = true;
+        fleet_.ejected -= Usable(s);
+        fleet_.failures += s.health.failures;
+        fleet_.attempts += s.health.attempts();
+        if (MayLog(kHealth)) LogLine("server " + std::to_string(s.entry.server) + " returns to service");
+      } else if (s.health.ejected) {
+        next_return_ = std::min(next_return_, s.health.return_at);
+      }
+    }
+    FleetChanged();
+  }
+
+  void Sample() {
+    const double elapsed = (now_ - sampled_at_).count();
+    if (some_cold_) CountCapacity();
+    if (sampled_at_ != TimePoint{} && elapsed > 0) {
+      // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
+      // leaves queues that take far longer to drain than the start took.
+      const double gain = std::min(1.0, std::max(elapsed / kGoodMemory.count(), 1.0 / ++samples_));
+      served_rate_ += gain * (answered_ / elapsed - served_rate_);
+      const double forgotten = std::min(1.0, elapsed / kCrowdingMemory.count());
+      crowding_ += forgotten * (1 - crowding_);
+      of_aim_ -= forgotten * of_aim_;
+      const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / samples_);
+      work_rate_ += std::min(1.0, slow_gain) * (served_work_ / elapsed - work_rate_);
+      asked_rate_ += std::min(1.0, slow_gain) * (asked_work_ / elapsed - asked_rate_);
+      answered_ = served_work_ = asked_work_ = 0;
+      LearnWarmRate(Duration(elapsed));
+      ResizeSubset();
+    }
+    for (std::size_t t = 0; t < tenant_tokens_.size(); ++t) {
+      const double rate = settings_.tenants[t].quota_per_s / settings_.balancers / 1000;
+      tenant_tokens_[t] = std::min(std::max(1.0, rate * 2000), tenant_tokens_[t] + rate * elapsed);
+    }
+    sampled_at_ = now_;
+    sample_at_ = now_ + kHousekeeping;
+    room_ = true;  // cold budgets have moved on
+  }
+
+  void Arm() {
+    TimePoint at = std::min(ask_at_, held_.empty() ? kNever : sample_at_);
+    if (!wakeups_.empty()) at = std::min(at, wakeups_.begin()->first);
+    if (at >= armed_) return;
+    armed_ = at;
+    out_->push_back(SetTimer{at, 0});
+  }
+
+  // Few lines: each kind no closer than its gap.
+  enum LogKind { kHealth, kEnding, kCold, kLogKinds };
+  bool MayLog(LogKind kind) {
+    if (now_ < log_at_[kind]) return false;
+    log_at_[kind] = now_ + (kind == kHealth ? kLogGap : kLongLogGap);
+    return true;
+  }
+  void LogLine(std::string text) { out_->push_back(Log{std::move(text)}); }
+
+  Settings settings_;
+  Random random_;
+  TimePoint now_{};
+  std::vector<Action>* out_ = nullptr;
+  std::vector<Server> servers_;
+  std::unordered_map<ServerId, ServerIndex> index_;
+  OutlierDetector::Fleet fleet_;
+  double warm_rate_ = 0;
+  double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
+  TimePoint next_return_ = kNever;
+  bool some_cold_ = false;
+  int list_ = 0;                            // of the complete lists
+  std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
+  std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
+  KeyMemory key_memory_{kKeyMemory};
+  std::unordered_map<RequestId, Request> requests_;
+  std::set<std::tuple<double, Duration, RequestId>> held_;
+  std::set<std::pair<TimePoint, RequestId>> wakeups_;
+  std::vector<ClassState> classes_;
+  Spread request_work_, mean_aim_;
+  double of_aim_ = 0;    // share of their aims that answers take
+  double crowding_ = 3;  // time of answers over what they take uncrowded
+  int stretch_votes_ = 0;
+  double stretch_ = 0;  // time over work that large requests take at the least
+  int samples_ = 0;
+  int in_flight_ = 0;                      // attempts
+  double answered_ = 0, served_rate_ = 0;  // answers since the last sample; answers a ms
+  double served_work_ = 0, work_rate_ = 0, asked_work_ = 0, asked_rate_ = 0;  // the same of work
+  int outcomes_ = 0;                                                          // attempts ended, to kYoung
+  std::vector<double> tenant_tokens_;
+  double retry_tokens_ = kRetryBurst;
+  double home_first_ = 0.5;               // share of picks that count the price of crossing zones
+  double lost_home_ = 0, lost_away_ = 0;  // share of worth lost at servers of the own zone and of others
+  bool room_ = false;                     // something changed that may let a held request go
+  Duration ask_backoff_{0};
+  TimePoint armed_ = kNever, ask_at_ = kNever;
+  TimePoint interval_end_{}, sample_at_{}, sampled_at_{};
+  TimePoint log_at_[kLogKinds] = {};
+};
+
+Balancer::Balancer(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Balancer::~Balancer() = default;
+Balancer::Balancer(Balancer&&) noexcept = default;
+Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+
+void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace brackenspoke
--- /dev/null
+++ b/src/measures.h
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What the decision module counts with: a random source, averages, memories and the record of a
+// request. No decisions.
+#ifndef BRACKENSPOKE_SRC_MEASURES_H_
+#define BRACKENSPOKE_SRC_MEASURES_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+
+namespace brackenspoke {
+
+// Deterministic from its seed alone; the standard distributions differ between libraries.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+  double Unit() { return static_cast<double>(engine_() >> 11) * 0x1.0p-53; }
+  std::uint64_t Below(std::uint64_t n) { return engine_() % n; }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+// A hash that every proxy shares: all bits of an id mixed, as MurmurHash3 ends.
+inline std::uint32_t MixBits(std::uint32_t x) {
+  x = (x ^ (x >> 16)) * 0x85ebca6bu;
+  x = (x ^ (x >> 13)) * 0xc2b2ae35u;
+  return x ^ (x >> 16);
+}
+
+// Mean and mean deviation, exponentially weighted.
+struct Spread {
+  double mean = 0, deviation = 0;
+  int samples = 0;
+
+  void Add(double x) {
+    const double gain = std::max(0.02, 1.0 / ++samples);
+    if (samples == 1) mean = x, deviation = x / 2;
+    deviation += gain * (std::abs(x - mean) - deviation);
+    mean += gain * (x - mean);
+  }
+};
+
+// Work this proxy sent to one cold server within the rule's window. Everything sent counts.
+class SentWindow {
+ public:
+  void Add(TimePoint now, double work) { sent_.emplace_back(now, work); }
+  void Clear() { sent_.clear(); }
+  double Within(TimePoint now, Duration window) {
+    std::erase_if(sent_, [&](const auto& sent) { return now - sent.first > window; });
+    double sum = 0;
+    for (const auto& [at, work] : sent_) sum += work;
+    return sum;
+  }
+
+ private:
+  std::vector<std::pair<TimePoint, double>> sent_;
+};
+
+// Where keys were sent lately: a server that met a key serves it again with less work.
+class KeyMemory {
+ public:
+  explicit KeyMemory(Duration kept) : kept_(kept) {}
+  void Met(std::uint64_t key, std::size_t server, TimePoint now) {
+    while (!order_.empty() && now - order_.front().first >= kept_) {
+      const auto found = met_.find(order_.front().second);
+      if (found != met_.end()) {
+        std::erase_if(found->second, [&](const auto& met) { return now - met.second >= kept_; });
+        if (found->second.empty()) met_.erase(found);
+      }
+      order_.pop_front();
+    }
+    auto& servers = met_[key];
+    std::erase_if(servers, [&](const auto& met) { return met.first == server; });
+    servers.emplace_back(server, now);
+    order_.emplace_back(now, key);
+  }
+  bool Warm(std::uint64_t key, std::size_t server, TimePoint now) const {
+    const auto found = met_.find(key);
+    if (found == met_.end()) return false;
+    return std::any_of(found->second.begin(), found->second.end(),
+                       [&](const auto& met) { return met.first == server && now - met.second < kept_; });
+  }
+
+ private:
+  Duration kept_;
+  std::unordered_map<std::uint64_t, std::vector<std::pair<std::size_t, TimePoint>>> met_;
+  std::deque<std::pair<TimePoint, std::uint64_t>> order_;
+};
+
+// ---- what is kept of requests --------------------------------------------------------------------------
+using ServerIndex = std::size_t;  // of the dense list of servers
+
+struct Attempt {
+  ServerIndex server = 0;
+  TimePoint sent_at{};
+  bool outstanding = true;
+  bool may_have_run = true;
+};
+
+struct Request {
+  RequestId id = 0;
+  int cls = 0;
+  double work = 1;
+  double value = 0;
+  std::uint64_t key = 0;
+  TimePoint arrived{}, due{}, refuse_at{};
+  std::vector<Attempt> attempts;
+  bool finished = false, streaming = false, held = false;
+  int outstanding() const {
+    return static_cast<int>(
+        std::count_if(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.outstanding; }));
+  }
+};
+
+// How long clients usually give a try.
+struct UsualTime {
+  Duration time{0};
+  int votes = 0;
+};
+
+// What this proxy has seen of a class.
+struct ClassState {
+  Spread latency, work;  // time over WorkScale; hinted work
+  UsualTime usual_time;
+};
+
+}  // namespace brackenspoke
+
+#endif  // BRACKENSPOKE_SRC_MEASURES_H_
--- /dev/null
+++ b/tests/hex.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef BRACKENSPOKE_TESTS_HEX_H_
+#define BRACKENSPOKE_TESTS_HEX_H_
+
+#include <string>
+#include <string_view>
+
+namespace brackenspoke::testing {
+
+// Bytes from hexadecimal digits; blanks are for the reader.
+inline std::string Hex(std::string_view text) {
+  std::string digits, bytes;
+  for (char c : text) {
+    if (c != ' ') digits += c;
+  }
+  for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
+    bytes += static_cast<char>(std::stoi(digits.substr(i, 2), nullptr, 16));
+  }
+  return bytes;
+}
+
+}  // namespace brackenspoke::testing
+
+#endif  // BRACKENSPOKE_TESTS_HEX_H_
