--- /dev/null
+++ b/src/proxy/backends.h
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Attempts at backends and the pool of connections that carries them. It decides nothing: each Send is one
+// attempt on one connection and ends in exactly one result.
+#ifndef BRACKENSPOKE_PROXY_BACKENDS_H_
+#define BRACKENSPOKE_PROXY_BACKENDS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+
+namespace brackenspoke::proxy {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+inline constexpr std::size_t kMostBody = 64 * 1024;  // of the protocol, either way
+
+struct AttemptResult {
+  Outcome outcome = Outcome::kUnknown;
+  HttpResponse response;  // of kOk, whole
+};
+using AttemptDone = std::function<void(AttemptResult)>;
+
+class Backends {
+ public:
+  struct Limits {
+    Duration connect_timeout{250};
+    Duration conn_idle{15000};
+    std::size_t connections = 300;  // over all backends
+  };
+
+  Backends(boost::asio::io_context& io, Limits limits);
+  ~Backends();
+  Backends(const Backends&) = delete;
+  Backends& operator=(const Backends&) = delete;
+
+  // Where a backend listens now, and since when it runs. Idle connections to what has moved or restarted go.
+  void Set(ServerId server, const boost::asio::ip::tcp::endpoint& address, double up_since);
+  // Nothing new will go there: idle connections go, and so do those in use when their answers are in.
+  void Retire(ServerId server);
+  // All but those that a complete list names.
+  void RetireOthers(const std::unordered_set<ServerId>& named);
+  void CloseIdle(ServerId server);
+
+  // One attempt. `done` is called once, never from within this call, and not after the destructor.
+  void Send(ServerId server, HttpRequest request, Duration timeout, AttemptDone done);
+
+  std::size_t connections() const { return open_; }
+  std::size_t opened() const { return opened_; }  // since the start
+
+ private:
+  class Connection;
+  friend class Connection;
+  struct Backend {
+    boost::asio::ip::tcp::endpoint address;
+    double up_since = 0;
+    std::uint64_t generation = 0;  // connections of an older one are not kept
+    bool usable = false;
+    std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
+  };
+
+  std::shared_ptr<Connection> TakeIdle(Backend& backend);
+  bool CloseOldestIdle();
+  void Keep(const std::shared_ptr<Connection>& connection);
+  void Drop(const Connection* connection);
+
+  boost::asio::io_context& io_;
+  Limits limits_;
+  std::unordered_map<ServerId, Backend> backends_;
+  std::unordered_map<const Connection*, std::weak_ptr<Connection>> live_;
+  std::size_t open_ = 0, opened_ = 0;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_BACKENDS_H_
--- /dev/null
+++ b/src/proxy/clients.h
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The side of the clients: accepts connections, reads requests, writes the one answer to each.
+#ifndef BRACKENSPOKE_PROXY_CLIENTS_H_
+#define BRACKENSPOKE_PROXY_CLIENTS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "backends.h"
+#include "clock.h"
+#include "config.h"
+
+namespace brackenspoke::proxy {
+
+// A request as read from a client, its headers understood.
+struct ClientRequest {
+  HttpRequest message;  // what goes on to backends
+  Steady::time_point due{};
+  int request_class = 0;
+  int tenant = 0;
+  std::uint64_t key = 0;
+  bool has_hint = false, client_retry = false;
+  double work_ms = 0;
+};
+
+struct Complaint {
+  boost::beast::http::status status = boost::beast::http::status::bad_request;
+  std::string text;
+};
+
+// Understands the headers of a request whose last byte was read at `read_at`; a complaint if it can't.
+std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
+                                    ClientRequest* request);
+
+// Where the one answer to a request goes.
+class Responder {
+ public:
+  virtual ~Responder() = default;
+  virtual void Served(HttpResponse answer) = 0;
+  virtual void Refused(Duration retry_after) = 0;
+  virtual void Failed() = 0;
+};
+
+// What is done with requests. Neither call may throw.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  virtual RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) = 0;
+  virtual void OnClientGone(RequestId request) = 0;
+  virtual bool Ready() const = 0;
+};
+
+class Clients {
+ public:
+  // Listens at once; throws boost::system::system_error if it cannot.
+  Clients(boost::asio::io_context& io, const Config& config, std::size_t most_connections,
+          RequestHandler& handler);
+  ~Clients();
+  Clients(const Clients&) = delete;
+  Clients& operator=(const Clients&) = delete;
+
+  // From now on each connection closes after its answer; new ones are still served. After the grace,
+  // nothing is accepted any more, and `done` is called when no connection is left.
+  void Stop(Duration grace, std::function<void()> done);
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  std::size_t connections() const { return sessions_.size(); }
+
+ private:
+  class Session;
+  friend class Session;
+
+  void Accept();
+  void AcceptLater();
+  bool MakeRoom();
+  void Remove(Session* session);
+  void Shut();
+
+  boost::asio::io_context& io_;
+  const Config& config_;
+  std::size_t most_connections_;
+  RequestHandler& handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_, grace_;
+  std::list<std::shared_ptr<Session>> sessions_;  // the longest unused first
+  bool waiting_for_room_ = false, stopping_ = false, shut_ = false;
+  std::function<void()> stopped_;
+  Steady::time_point half_read_until_{};
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CLIENTS_H_
--- /dev/null
+++ b/src/proxy/clock.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The module's clock on this machine's steady one.
+#ifndef BRACKENSPOKE_PROXY_CLOCK_H_
+#define BRACKENSPOKE_PROXY_CLOCK_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "brackenspoke/balancer.h"
+
+namespace brackenspoke::proxy {
+
+using Steady = std::chrono::steady_clock;
+
+// Both origins are taken once, at the start: a step of the wall clock later on must not make a backend look
+// restarted.
+class ModuleClock {
+ public:
+  TimePoint At(Steady::time_point at) const { return kStart + Duration(at - steady_origin_); }
+  TimePoint Now() const { return At(Steady::now()); }
+
+  Steady::time_point ToSteady(TimePoint at) const {
+    const Duration capped = std::min(at - kStart, kFarthest);
+    return steady_origin_ + std::chrono::ceil<Steady::duration>(capped);
+  }
+  // 0, for long ago, stays 0; what would come out before the clock's origin is as long ago.
+  TimePoint FromUnix(double unix_ms) const {
+    if (!(unix_ms > 0)) return TimePoint{};
+    return std::max(TimePoint{}, kStart + Duration(unix_ms) - unix_origin_);
+  }
+
+ private:
+  static constexpr TimePoint kStart{Duration(1e9)};
+  static constexpr Duration kFarthest{1e11};
+  Steady::time_point steady_origin_ = Steady::now();
+  Duration unix_origin_ = std::chrono::system_clock::now().time_since_epoch();
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CLOCK_H_
--- /dev/null
+++ b/src/proxy/config.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "config.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "settings.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+using nlohmann::json;
+using Tcp = boost::asio::ip::tcp;
+
+// A value as the simulator's first message writes it: no blanks, no line ends.
+std::string Scalar(const json& value) {
+  std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+  std::replace_if(
+      text.begin(), text.end(), [](unsigned char c) { return std::isspace(c) || c == ','; }, '_');
+  return text;
+}
+
+// The path=value lines of the simulator's wire, so that one parser of settings serves both.
+void Flatten(const json& value, const std::string& path, std::string* lines) {
+  const std::string under = path.empty() ? "" : path + ".";
+  if (value.is_object()) {
+    for (const auto& [name, inner] : value.items()) Flatten(inner, under + name, lines);
+  } else if (value.is_array() && !value.empty() && value.front().is_structured()) {
+    *lines += under + "count=" + std::to_string(value.size()) + '\n';
+    for (std::size_t i = 0; i < value.size(); ++i) Flatten(value[i], under + std::to_string(i), lines);
+  } else if (value.is_array()) {
+    std::string joined;
+    for (const json& item : value) {
+      if (!joined.empty()) joined += ',';
+      joined += Scalar(item);
+    }
+    *lines += path + '=' + joined + '\n';
+  } else if (!value.is_null()) {
+    *lines += path + '=' + Scalar(value) + '\n';
+  }
+}
+
+Tcp::endpoint Address(const char* from_env, const json& root, const char* name) {
+  const std::string text = from_env && *from_env ? from_env : root.value(name, "");
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint) throw BadConfig(std::string(name) + " is no address: '" + text + "'");
+  return *endpoint;
+}
+
+std::vector<std::string> Strings(const json& settings, const char* name) {
+  std::vector<std::string> all;
+  const auto found = settings.find(name);
+  if (found == settings.end() || !found->is_array()) return all;
+  for (const json& item : *found) all.push_back(item.is_object() ? item.value("name", "") : Scalar(item));
+  return all;
+}
+
+std::uint64_t SeedOf(const json& root) {
+  const auto found = root.find("seed");
+  if (found == root.end()) throw BadConfig("seed is missing");
+  if (found->is_number_unsigned()) return found->get<std::uint64_t>();
+  const std::string text = found->is_string() ? found->get<std::string>() : "";
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size())
+    throw BadConfig("seed is no hexadecimal number");
+  return seed;
+}
+
+Config Read(const json& root, const Environment& env) {
+  Config config;
+  const char* name = env("ROUTER_NAME");
+  config.name = name && *name ? name : root.value("name", "");
+  config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
+  config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
+  config.seed = SeedOf(root);
+  if (const auto limits = root.find("limits"); limits != root.end())
+    config.sockets = limits->value("sockets", config.sockets);
+  if (config.sockets < 64) throw BadConfig("limits.sockets is too small to serve");
+
+  const json& settings = root.at("settings");
+  std::string lines;
+  Flatten(settings, "", &lines);
+  config.settings = adapter::ParseSettings(lines);
+  config.classes = Strings(settings, "classes");
+  config.tenants = Strings(settings, "tenants");
+  config.zones = Strings(settings, "zones");
+  config.kinds = Strings(settings, "kinds");
+  if (const auto allowed = settings.find("permissions"); allowed != settings.end()) {
+    config.connect_timeout = Duration(allowed->value("connectTimeoutMs", config.connect_timeout.count()));
+    config.conn_idle = Duration(allowed->value("connIdleMs", config.conn_idle.count()));
+  }
+  if (!(config.connect_timeout.count() > 0) || !(config.conn_idle.count() > 0))
+    throw BadConfig("permissions.connectTimeoutMs and connIdleMs must be over 0");
+
+  if (const auto known = root.find("known"); known != root.end() && !known->is_null()) {
+    std::string why;
+    auto list = ParseMembers(*known, &why);
+    if (!list) throw BadConfig("known is no list: " + why);
+    config.known = std::move(*list);
+  }
+  return config;
+}
+
+}  // namespace
+
+Config ParseConfig(std::string_view text, const Environment& env) {
+  const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!root.is_object()) throw BadConfig("the configuration is no JSON object");
+  try {
+    return Read(root, env);
+  } catch (const adapter::BadSettings& error) {
+    throw BadConfig(error.what());
+  } catch (const json::exception& error) {
+    throw BadConfig(error.what());
+  }
+}
+
+Config LoadConfig(const Environment& env) {
+  const char* path = env("ROUTER_CONFIG");
+  if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw BadConfig("cannot read ROUTER_CONFIG: " + std::string(path));
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  return ParseConfig(text, env);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/discovery.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Watches discovery for changes of the list of backends.
+#ifndef BRACKENSPOKE_PROXY_DISCOVERY_H_
+#define BRACKENSPOKE_PROXY_DISCOVERY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "members.h"
+
+namespace brackenspoke::proxy {
+
+class Discovery {
+ public:
+  using OnList = std::function<void(const MemberList&)>;
+  using OnFailure = std::function<void()>;
+  enum class Reconnect { kByItself, kWhenAsked };
+
+  struct Options {
+    boost::asio::ip::tcp::endpoint address;
+    std::uint64_t revision = 0;  // of the list that is known already
+    Reconnect reconnect = Reconnect::kByItself;
+    std::chrono::milliseconds silence{5000};  // two and a half of its heartbeats
+    std::uint64_t seed = 0;
+  };
+
+  Discovery(boost::asio::io_context& io, Options options, OnList on_list, OnFailure on_failure);
+  ~Discovery();
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+
+  // Begins a watch from the last revision applied, in place of one that is open.
+  void Watch();
+
+ private:
+  class Stream;
+  friend class Stream;
+
+  bool OnLine(std::string_view line);
+  void OnEnd(const std::string& why);
+
+  boost::asio::io_context& io_;
+  Options options_;
+  OnList on_list_;
+  OnFailure on_failure_;
+  boost::asio::steady_timer again_;
+  std::shared_ptr<Stream> stream_;
+  std::chrono::milliseconds backoff_{0};
+  std::uint64_t jitter_;
+  bool told_ = false;  // that discovery is away
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_DISCOVERY_H_
--- /dev/null
+++ b/src/proxy/proxy.cpp
@@ -0,0 +1,243 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <unordered_set>
+#include <utility>
+
+namespace brackenspoke::proxy {
+namespace {
+
+// Descriptors: what is neither a client's nor a backend's, and the clients' part of the rest.
+constexpr int kOtherDescriptors = 40;
+constexpr double kClientShare = 0.6;
+constexpr TimePoint kUnarmed{Duration(1e300)};
+constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+
+Backends::Limits BackendLimits(const Config& config) {
+  const double rest = config.sockets - kOtherDescriptors;
+  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare))};
+}
+
+std::size_t ClientLimit(const Config& config) {
+  return static_cast<std::size_t>((config.sockets - kOtherDescriptors) * kClientShare);
+}
+
+Discovery::Options DiscoveryOptions(const Config& config) {
+  Discovery::Options options;
+  options.address = config.discovery;
+  options.revision = config.known.revision;
+  options.reconnect =
+      config.settings.must_ask_for_list ? Discovery::Reconnect::kWhenAsked : Discovery::Reconnect::kByItself;
+  options.seed = config.seed;
+  return options;
+}
+
+}  // namespace
+
+Proxy::Proxy(boost::asio::io_context& io, Config config)
+    : config_(std::move(config)),
+      balancer_(config_.settings, config_.seed),
+      armed_for_(kUnarmed),
+      timer_(io) {
+  backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
+  discovery_ = std::make_unique<Discovery>(
+      io, DiscoveryOptions(config_),
+      [this](const MemberList& list) { OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta); },
+      [this] {
+        Feed(ListUpdate{ListKind::kFailed, {}});
+      });
+  OnList(config_.known, ListKind::kCached);
+  listed_ = !config_.known.members.empty();
+  if (!config_.settings.must_ask_for_list) discovery_->Watch();
+  clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+}
+
+Proxy::~Proxy() = default;
+
+void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
+
+// The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
+// Handle is never entered while its actions are being carried out.
+void Proxy::Feed(Event event) {
+  // News of the list go before what waits: a request must not be sent by an older list than has been told.
+  if (std::holds_alternative<ListUpdate>(event)) {
+    const auto first_other = std::find_if(events_.begin(), events_.end(), [](const Event& e) {
+      return !std::holds_alternative<ListUpdate>(e);
+    });
+    events_.insert(first_other, std::move(event));
+  } else {
+    events_.push_back(std::move(event));
+  }
+  if (handling_) return;
+  handling_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const Event next = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    balancer_.Handle(clock_.Now(), next, &actions);
+    for (const Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  handling_ = false;
+  ArmTimer();
+}
+
+void Proxy::OnList(const MemberList& list, ListKind kind) {
+  numbers_.Learn(list.members);
+  if (kind != ListKind::kDelta) {
+    std::unordered_set<ServerId> named;
+    for (const Member& m : list.members) named.insert(numbers_.Of(m.id));
+    backends_->RetireOthers(named);
+  }
+  ListUpdate update;
+  update.kind = kind;
+  for (const Member& m : list.members) {
+    ServerEntry entry;
+    entry.server = numbers_.Of(m.id);
+    entry.zone = ZoneOf(m.zone);
+    const auto kind_name = std::find(config_.kinds.begin(), config_.kinds.end(), m.kind);
+    entry.kind = static_cast<int>(kind_name - config_.kinds.begin());
+    entry.cell = m.cell;
+    entry.state = m.state;
+    entry.weight = m.weight;
+    entry.up_since = clock_.FromUnix(m.up_since_unix_ms);
+    update.entries.push_back(entry);
+    if (m.state == ServerState::kReady) {
+      backends_->Set(entry.server, m.address, m.up_since_unix_ms);
+    } else {
+      backends_->Retire(entry.server);
+    }
+  }
+  listed_ |= !list.members.empty();
+  Feed(std::move(update));
+}
+
+// A zone that the settings don't name is a zone of its own, none of those that they do.
+int Proxy::ZoneOf(const std::string& name) const {
+  const auto found = std::find(config_.zones.begin(), config_.zones.end(), name);
+  if (found != config_.zones.end()) return static_cast<int>(found - config_.zones.begin());
+  return static_cast<int>(0x10000 + (StableHash(name) & 0x3fffffff));
+}
+
+RequestId Proxy::OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) {
+  const RequestId id = ++last_request_;
+  Submit submit;
+  submit.request = id;
+  submit.due = clock_.At(request.due);
+  submit.request_class = request.request_class;
+  submit.tenant = request.tenant;
+  submit.key = request.key;
+  submit.has_hint = request.has_hint;
+  submit.client_retry = request.client_retry;
+  submit.work_ms = request.work_ms;
+  Pending& pending = pending_[id];
+  pending.message = std::move(request.message);
+  pending.due = request.due;
+  pending.responder = std::move(responder);
+  Feed(submit);
+  return id;
+}
+
+void Proxy::OnClientGone(RequestId request) {
+  if (!Conclude(request)) return;
+  ForgetIfOver(request);
+  Feed(ClientGone{request});
+}
+
+void Proxy::Do(const Dispatch& action) {
+  const auto found = pending_.find(action.request);
+  const auto now = Steady::now();
+  // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
+  const int attempt = found == pending_.end() ? 0 : found->second.attempts++;
+  if (found == pending_.end() || !found->second.responder || found->second.attempt_out ||
+      now >= found->second.due || attempt >= config_.settings.max_attempts) {
+    AttemptEnded end;
+    end.request = action.request;
+    end.attempt = attempt;
+    end.server = action.server;
+    end.settled = found == pending_.end() || !found->second.responder;
+    end.outcome = Outcome::kMoot;
+    return Feed(end);
+  }
+  Pending& pending = found->second;
+  pending.attempt_out = true;
+  Duration timeout = pending.due - now;
+  if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
+  HttpRequest message = pending.message;
+  message.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
+  backends_->Send(action.server, std::move(message), timeout,
+                  [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
+                    OnAttemptDone(id, attempt, server, now, std::move(result));
+                  });
+}
+
+void Proxy::OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
+                          AttemptResult result) {
+  AttemptEnded end;
+  end.request = request;
+  end.attempt = attempt;
+  end.server = server;
+  end.outcome = result.outcome;
+  end.took = Steady::now() - sent;
+  const auto found = pending_.find(request);
+  if (found != pending_.end()) found->second.attempt_out = false;
+  if (result.outcome == Outcome::kOk) {
+    if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
+  }
+  end.settled = found == pending_.end() || !found->second.responder;
+  ForgetIfOver(request);
+  Feed(end);
+}
+
+// Ends the request: whoever gets the responder gives the one final answer.
+std::shared_ptr<Responder> Proxy::Conclude(RequestId request) {
+  const auto found = pending_.find(request);
+  return found == pending_.end() ? nullptr : std::exchange(found->second.responder, nullptr);
+}
+
+void Proxy::ForgetIfOver(RequestId request) {
+  const auto found = pending_.find(request);
+  if (found != pending_.end() && !found->second.responder && !found->second.attempt_out)
+    pending_.erase(found);
+}
+
+void Proxy::Do(const Refuse& action) {
+  if (const auto responder = Conclude(action.request)) responder->Refused(action.retry_after);
+  ForgetIfOver(action.request);
+}
+
+void Proxy::Do(const Fail& action) {
+  if (const auto responder = Conclude(action.request)) responder->Failed();
+  ForgetIfOver(action.request);
+}
+
+void Proxy::Do(const SetTimer& action) { timers_.emplace(action.at, action.token); }
+
+void Proxy::Do(const Subscribe&) { discovery_->Watch(); }
+
+void Proxy::Do(const struct CloseIdle& action) { backends_->CloseIdle(action.server); }
+
+void Proxy::Do(const Log& action) { std::fprintf(stderr, "%s\n", action.text.c_str()); }
+
+// Guards against a timer that the module thinks has not come yet: rounding may wake this a moment early, and
+// the module would not ask again.
+void Proxy::ArmTimer() {
+  if (timers_.empty() || timers_.begin()->first >= armed_for_) return;
+  armed_for_ = timers_.begin()->first;
+  timer_.expires_at(clock_.ToSteady(timers_.begin()->first));
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) return;
+    armed_for_ = kUnarmed;
+    while (!timers_.empty() && timers_.begin()->first <= clock_.Now()) {
+      const std::uint64_t token = timers_.begin()->second;
+      timers_.erase(timers_.begin());
+      Feed(TimerFired{token});
+    }
+    ArmTimer();
+  });
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The proxy: turns what happens on sockets into events for its Balancer, and carries out the actions. Every
+// decision is the Balancer's.
+#ifndef BRACKENSPOKE_PROXY_PROXY_H_
+#define BRACKENSPOKE_PROXY_PROXY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "backends.h"
+#include "brackenspoke/balancer.h"
+#include "clients.h"
+#include "clock.h"
+#include "config.h"
+#include "discovery.h"
+#include "members.h"
+
+namespace brackenspoke::proxy {
+
+class Proxy : public RequestHandler {
+ public:
+  // Listens, and watches discovery, from here on.
+  Proxy(boost::asio::io_context& io, Config config);
+  ~Proxy() override;
+
+  // Serves what comes for a while yet; `done` is called when nothing is held any more.
+  void Stop(std::function<void()> done);
+
+  RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
+  void OnClientGone(RequestId request) override;
+  bool Ready() const override { return listed_; }
+
+  boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
+  std::size_t backend_connections() const { return backends_->connections(); }
+  std::size_t held() const { return pending_.size(); }
+
+ private:
+  // From its Submit until it has its answer and no attempt is out.
+  struct Pending {
+    HttpRequest message;
+    Steady::time_point due{};
+    std::shared_ptr<Responder> responder;  // null once answered
+    int attempts = 0;
+    bool attempt_out = false;
+  };
+
+  void Feed(Event event);
+  void OnList(const MemberList& list, ListKind kind);
+  int ZoneOf(const std::string& name) const;
+
+  void Do(const Dispatch& action);
+  void Do(const Refuse& action);
+  void Do(const Fail& action);
+  void Do(const SetTimer& action);
+  void Do(const Subscribe& action);
+  void Do(const struct CloseIdle& action);
+  void Do(const Log& action);
+
+  void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
+                     AttemptResult result);
+  std::shared_ptr<Responder> Conclude(RequestId request);
+  void ForgetIfOver(RequestId request);
+  void ArmTimer();
+
+  Config config_;
+  ModuleClock clock_;
+  Balancer balancer_;
+  ServerNumbers numbers_;
+  std::unordered_map<RequestId, Pending> pending_;
+  RequestId last_request_ = 0;
+  std::deque<Event> events_;
+  bool handling_ = false;
+  bool listed_ = false;
+  std::multimap<TimePoint, std::uint64_t> timers_;
+  TimePoint armed_for_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<Backends> backends_;
+  std::unique_ptr<Clients> clients_;
+  std::unique_ptr<Discovery> discovery_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_PROXY_H_
