Tell refused clients when to come back

Cause: the site's settings say that the simulator's clients are given no advice (permissions.retryAfter=false), so that the module's refusals carried none on sockets either, where an answer always has a place for it: Config's Read handed max_retry_after on as 0. It is now permissions.maxRetryAfterMs; how long the advice is stays the module's (StayAway). Refusals still go out at once.

The simulator's result is untouched: the adapter still reads retryAfter.

--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -93,6 +93,9 @@
   if (const auto allowed = settings.find("permissions"); allowed != settings.end()) {
     config.connect_timeout = Duration(allowed->value("connectTimeoutMs", config.connect_timeout.count()));
     config.conn_idle = Duration(allowed->value("connIdleMs", config.conn_idle.count()));
+    // The simulator's clients may not be listening, but an HTTP refusal always has a place for the advice: a
+    // client that is not told comes back at once, over and over, to a fleet that is full.
+    config.settings.max_retry_after = std::max(Duration(0), Duration(allowed->value("maxRetryAfterMs", 0.0)));
   }
   if (!(config.connect_timeout.count() > 0) || !(config.conn_idle.count() > 0))
     throw BadConfig("permissions.connectTimeoutMs and connIdleMs must be over 0");
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -394,7 +394,8 @@
 TEST(Proxy, ARefusalSaysWhenToComeBack) {
   Site site(Members());
   site.config["settings"]["classes"][2]["goalTimeMs"] = 50;
-  site.config["settings"]["permissions"]["retryAfter"] = true;
+  // Also where the simulator's clients are not told: on sockets the answer itself carries the advice.
+  site.config["settings"]["permissions"]["retryAfter"] = false;
   site.config["settings"]["permissions"]["maxRetryAfterMs"] = 1500;
   site.Start();
   Client client(site.proxy->address);
