A fault while actions are carried out no longer leaves the proxy deaf; silent watches end sooner

Cause: Feed left handling_ set if an exception (out of memory, say) escaped from an action, and every later event would only have been queued: found by reading, in Proxy::Feed. It is reset by a guard now. A watch whose heartbeat stays away ends after 4.5 s in place of 5: what discovery tells counts as told after 6 s, and a new connection needs part of that.

Ruled out by a probe (connect, write and timer failures logged with their reason, removed again): connects that fail.

--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -26,7 +26,7 @@
     boost::asio::ip::tcp::endpoint address;
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
-    std::chrono::milliseconds silence{5000};  // two and a half of its heartbeats
+    std::chrono::milliseconds silence{4500};  // two of its heartbeats, and some
     std::uint64_t seed = 0;
   };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -72,7 +72,20 @@
     events_.push_back(std::move(event));
   }
   if (handling_) return;
-  handling_ = true;
+  // Guards against a fault while actions are carried out leaving the proxy deaf: the next event goes on.
+  struct Handling {
+    explicit Handling(bool& flag) : flag(flag) { flag = true; }
+    ~Handling() { flag = false; }
+    bool& flag;
+  };
+  {
+    const Handling handling(handling_);
+    HandleQueued();
+  }
+  ArmTimer();
+}
+
+void Proxy::HandleQueued() {
   std::vector<Action> actions;
   while (!events_.empty()) {
     const Event next = std::move(events_.front());
@@ -81,8 +94,6 @@
     balancer_.Handle(clock_.Now(), next, &actions);
     for (const Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
   }
-  handling_ = false;
-  ArmTimer();
 }
 
 void Proxy::OnList(const MemberList& list, ListKind kind) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -53,6 +53,7 @@
   };
 
   void Feed(Event event);
+  void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
   int ZoneOf(const std::string& name) const;
 
