Reread the configuration at SIGHUP and move the watch to its discovery

Besides, ParseConfig puts the environment before the file, and Discovery::Watch asks from the last revision, which a new discovery need not share. Now: SIGHUP is caught before the proxy listens; on a reload the file goes before the environment; Discovery::Move takes the whole list of the new address, then watches from it, and keeps the old watch until that list has come. A bad file is one line, and the old configuration stays.

--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -132,4 +132,10 @@
   return ParseConfig(text, env);
 }
 
+Config ReloadConfig(const Environment& env) {
+  return LoadConfig([&](const char* name) -> const char* {
+    return std::string_view(name) == "ROUTER_CONFIG" ? env(name) : nullptr;
+  });
+}
+
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -42,6 +42,10 @@
 // Reads the file that ROUTER_CONFIG names.
 Config LoadConfig(const Environment& env);
 
+// The same, for a process that runs: its environment is that of its start, so the file, which has been
+// replaced since, goes before it.
+Config ReloadConfig(const Environment& env);
+
 }  // namespace brackenspoke::proxy
 
 #endif  // BRACKENSPOKE_PROXY_CONFIG_H_
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -38,19 +38,27 @@
   // Begins a watch from the last revision applied, in place of one that is open.
   void Watch();
 
+  // From now on discovery is elsewhere. Its revisions need not go on from those known, so that its whole list
+  // is taken first; the watch that is open stays until that has come.
+  void Move(const boost::asio::ip::tcp::endpoint& address);
+
  private:
   class Stream;
   friend class Stream;
 
-  bool OnLine(std::string_view line);
-  void OnEnd(const std::string& why);
+  void StartMove();
+  bool OnLine(Stream* from, std::string_view line);
+  void OnEnd(Stream* from, const std::string& why);
+  void RetryLater();
 
   boost::asio::io_context& io_;
   Options options_;
   OnList on_list_;
   OnFailure on_failure_;
   boost::asio::steady_timer again_;
-  std::shared_ptr<Stream> stream_;
+  std::shared_ptr<Stream> stream_, next_;  // the watch; the one that is to take its place after a move
+  bool moving_ = false;
+  boost::asio::ip::tcp::endpoint next_address_;
   std::chrono::milliseconds backoff_{0};
   std::uint64_t jitter_;
   bool told_ = false;  // that discovery is away
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -23,19 +23,33 @@
   }
 }
 
+const char* Environment(const char* name) { return std::getenv(name); }
+
+void ReloadAtSignal(boost::asio::signal_set& signals, brackenspoke::proxy::Proxy& proxy) {
+  signals.async_wait([&](const boost::system::error_code& failed, int) {
+    if (failed) return;
+    ReloadAtSignal(signals, proxy);
+    try {
+      proxy.Reload(brackenspoke::proxy::ReloadConfig(Environment));
+    } catch (const brackenspoke::proxy::BadConfig& error) {
+      std::fprintf(stderr, "kestrelline: the old configuration stays: %s\n", error.what());
+    }
+  });
+}
+
 }  // namespace
 
 int main() {
   std::setvbuf(stderr, nullptr, _IOLBF, 0);
   try {
     boost::asio::io_context io(1);
-    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig([](const char* name) -> const char* {
-                                       return std::getenv(name);
-                                     }));
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code& failed, int) {
+    // Caught from before the proxy listens: one that is ready must not die of a signal.
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig(Environment));
+    ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
     });
+    ReloadAtSignal(reloads, proxy);
     Run(io);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "kestrelline: %s\n", error.what());
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -57,6 +57,8 @@
 
 Proxy::~Proxy() = default;
 
+void Proxy::Reload(const Config& config) { discovery_->Move(config.discovery); }
+
 void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
 
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -31,6 +31,10 @@
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
+  // Takes over where discovery is from a configuration read anew; the rest of it holds from the next start
+  // on.
+  void Reload(const Config& config);
+
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
   void Stop(std::function<void()> done);
 
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -197,6 +197,7 @@
  public:
   struct Seen {
     std::vector<std::string> watches;  // their targets
+    int asked = 0;                     // for the whole list
   };
   FakeDiscovery() : listener_([this](Tcp::socket& s) { Serve(s); }) {}
   ~FakeDiscovery() {
@@ -209,6 +210,10 @@
     says.Do([&](Says& s) { s.lines.push_back(line + "\n"); });
   }
   void Push(const nlohmann::json& list) { Push(list.dump()); }
+  // What it answers when it is asked for its whole list; nothing before.
+  void SetWhole(const nlohmann::json& list) {
+    says.Do([&](Says& s) { s.whole = list.dump(); });
+  }
   void EndWatch() {
     says.Do([](Says& s) { s.lines.emplace_back(); });
   }
@@ -223,13 +228,25 @@
     std::vector<std::string> lines;  // an empty one ends the watch
     std::size_t said = 0, watches = 0;
     bool over = false;
+    std::string whole;
   };
   void Serve(Tcp::socket& socket) {
     boost::beast::flat_buffer buffer;
     HttpRequest request;
-    error_code failed;
-    http::read(socket, buffer, request, failed);
-    if (failed) return;
+    for (;;) {
+      error_code failed;
+      request = {};
+      http::read(socket, buffer, request, failed);
+      if (failed) return;
+      if (request.target() != "/v1/endpoints") break;
+      seen.Do([](Seen& s) { ++s.asked; });
+      std::string whole;
+      says.WaitFor([&](Says& s) {
+        whole = s.whole;
+        return s.over || !whole.empty();
+      });
+      SendRaw(socket, OkAnswer(whole));
+    }
     SendRaw(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     std::size_t me = 0;
     says.Do([&](Says& s) { me = ++s.watches; });
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -48,6 +48,11 @@
     waitpid(std::exchange(pid_, -1), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
   }
+  std::string StderrLine() {
+    std::string line;
+    for (char c; (line.empty() || line.back() != '\n') && read(stderr_, &c, 1) == 1;) line += c;
+    return line;
+  }
   std::string Stderr() {
     std::string text;
     char piece[4096];
@@ -152,6 +157,68 @@
   }
 }
 
+void Replace(const ConfigFile& file, const std::string& text) {
+  std::ofstream(file.path + ".new") << text;
+  std::filesystem::rename(file.path + ".new", file.path);
+}
+
+TEST(Process, AtSighupDiscoveryMovesAndItsWholeListIsTaken) {
+  Backend before("before"), after("after"), later("later");
+  FakeDiscovery here, there;
+  const ConfigFile file(ConfigJson(here.address(), Members(MemberJson("s-1", before.address()))).dump());
+  const auto address = FreePort();
+  // The environment names the first discovery for as long as the process lives: the file goes before it.
+  Child child({{"ROUTER_CONFIG", file.path},
+               {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+               {"ROUTER_DISCOVERY", "127.0.0.1:" + std::to_string(here.address().port())}});
+  ASSERT_TRUE(WaitUntilReady(address));
+  ASSERT_TRUE(here.WaitForWatches(1));
+  Client client(address);
+  EXPECT_EQ(client.Ask(Look()).body(), "before");
+
+  Replace(file, ConfigJson(there.address(), {}).dump());
+  child.Signal(SIGHUP);
+  // Until the new one has spoken, the old one is listened to.
+  ASSERT_TRUE(there.seen.WaitFor([](const FakeDiscovery::Seen& s) { return s.asked == 1; }));
+  here.Push(ListJson(42, false, Members(MemberJson("s-1", before.address(), "in_service", 1e12))));
+  ASSERT_TRUE(before.WaitForClosed(1));
+  // The new one's revisions are lower than the old one's, and it does not name what is gone.
+  there.SetWhole(ListJson(7, true, Members(MemberJson("s-2", after.address()))));
+  ASSERT_TRUE(there.WaitForWatches(1));
+  EXPECT_EQ(there.seen.Get().watches[0], "/v1/endpoints?stream=1&index=7");
+  EXPECT_EQ(client.Ask(Look()).body(), "after");
+  there.Push(ListJson(
+      8, false,
+      Members(MemberJson("s-2", after.address(), "terminating"), MemberJson("s-3", later.address()))));
+  ASSERT_TRUE(after.WaitForClosed(1));
+  EXPECT_EQ(client.Ask(Look()).body(), "later");
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
+TEST(Process, ABadFileAtSighupIsOneLineAndTheOldConfigurationStays) {
+  Backend before("before"), after("after");
+  FakeDiscovery discovery;
+  const auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", before.address())));
+  const ConfigFile file(config.dump());
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
+  ASSERT_TRUE(WaitUntilReady(address));
+  ASSERT_TRUE(discovery.WaitForWatches(1));
+  Client client(address);
+  EXPECT_EQ(client.Ask(Look()).body(), "before");
+  Replace(file, "{\"listen\":");
+  child.Signal(SIGHUP);
+  EXPECT_NE(child.StderrLine().find("the old configuration stays"), std::string::npos);
+  discovery.Push(ListJson(42, true, Members(MemberJson("s-2", after.address()))));
+  ASSERT_TRUE(before.WaitForClosed(1));
+  EXPECT_EQ(client.Ask(Look()).body(), "after");
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Stderr(), "");
+  EXPECT_EQ(child.Wait(), 0);
+}
+
 TEST(Process, OutlivesRunningOutOfDescriptors) {
   Backend backend;
   FakeDiscovery discovery;
