--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -23,6 +25,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostAnswerHeader = 16 * 1024;
+constexpr int kMostInterim = 8;     // 1xx answers ahead of the final one
 constexpr double kIdleShare = 0.8;  // of the time after which backends close: ours must come first
 
 Steady::duration ToSteady(Duration d) { return std::chrono::ceil<Steady::duration>(d); }
@@ -32,9 +35,18 @@
   const unsigned status = response.result_int();
   if (status == 200) return Outcome::kOk;
   if ((status == 503 || status == 504) && response["Srv-Declined"] == "1") return Outcome::kFull;
+  // What a backend says of the request is no failure of the backend's, and no other would say otherwise.
+  if (status >= 400 && status < 500 && status != 408 && status != 429) return Outcome::kUnknown;
   return Outcome::kError;
 }
 
+// No fault of a backend: this process, or this machine, has no more to give.
+bool IsLocal(const Error& failed) {
+  return failed == asio::error::no_descriptors || failed == asio::error::no_buffer_space ||
+         failed == asio::error::no_memory || failed == boost::system::errc::too_many_files_open_in_system ||
+         failed == boost::system::errc::address_not_available;
+}
+
 }  // namespace
 
 // One connection and the attempt on it, if any. Once closed it is never used again, so that an answer which
@@ -50,24 +62,31 @@
 
   void Open(const Tcp::endpoint& address, Duration connect_timeout) {
     Error error;
-    socket_.open(address.protocol(), error);  // out of descriptors: an attempt that could not connect
+    socket_.open(address.protocol(), error);
     if (!error) socket_.set_option(Tcp::no_delay(true), error);
-    if (error) return FinishSoon(Outcome::kConnectFailed);
+    if (!error) socket_.non_blocking(true, error);
+    if (error) return FinishSoon(Outcome::kMoot);
     SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
     socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
       if (!self->done_) return;
-      if (failed) return self->Finish(Outcome::kConnectFailed);
+      if (failed) return self->Finish(IsLocal(failed) ? Outcome::kMoot : Outcome::kConnectFailed);
       self->SetTimer(self->deadline_);
+      // What speaks before it is asked will not answer what it is asked.
+      if (!self->Quiet()) return self->Finish(Outcome::kConnectFailed);
       self->Write();
     });
   }
 
-  void Assign(HttpRequest request, Duration timeout, AttemptDone done) {
+  void Assign(std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done) {
     ++use_;
     request_ = std::move(request);
+    head_.base() = request_->base();
+    head_.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
+    head_.body() = {request_->body().data(), request_->body().size()};
     done_ = std::move(done);
     deadline_ = Steady::now() + ToSteady(timeout);
-    written_ = false;
+    written_ = begun_ = false;
+    interim_ = 0;
   }
 
   void Reuse() {
@@ -82,13 +101,12 @@
     asio::post(owner_->io_, [self = shared_from_this(), outcome] { self->Finish(outcome); });
   }
 
-  // Guards against writing to a connection that the backend has closed in the meantime, which would end as a
-  // reset that may have run.
-  bool Alive() {
+  // Open, with nothing to read. Guards against writing to a connection that the backend has closed in the
+  // meantime, which would end as a reset that may have run, and against taking for an answer what was sent
+  // before the request.
+  bool Quiet() {
     Error error;
     char byte;
-    socket_.non_blocking(true, error);
-    if (error) return false;
     socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
     return error == asio::error::would_block || error == asio::error::try_again;
   }
@@ -124,15 +142,28 @@
       if (cancelled || self->closed_ || Steady::now() < self->timer_.expiry()) return;
       if (!self->done_) return self->Close();  // idle for too long
       // Nothing has run unless the last byte was written.
-      self->Finish(self->written_ ? Outcome::kTimeout : Outcome::kConnectFailed);
+      self->Finish(!self->written_                                           ? Outcome::kConnectFailed
+                   : self->begun_ && self->timer_.expiry() < self->deadline_ ? Outcome::kReset
+                                                                             : Outcome::kTimeout);
     });
   }
 
   void Write() {
-    http::async_write(socket_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
+    http::async_write(socket_, head_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->done_) return;
       if (failed) return self->Finish(Outcome::kConnectFailed);
       self->written_ = true;
+      self->AwaitAnswer();
+    });
+  }
+
+  // An answer that has begun comes whole soon, or not at all: its connection may stay open and silent.
+  void AwaitAnswer() {
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
+      if (!self->done_ || use != self->use_) return;
+      if (failed) return self->Finish(Outcome::kReset);
+      self->begun_ = true;
+      self->SetTimer(std::min(self->deadline_, Steady::now() + self->owner_->limits_.patience.answer_whole));
       self->Read();
     });
   }
@@ -141,16 +172,30 @@
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostAnswerHeader);
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](const Error& failed, std::size_t) {
+                              if (!self->done_) return;
+                              if (failed) return self->Finish(Outcome::kReset);
+                              self->OnHeader();
+                            });
+  }
+
+  void OnHeader() {
+    const auto& header = parser_->get();
+    if (header.result_int() < 200) {
+      // The final answer is still to come; but nothing here asked to switch protocols.
+      const bool over = header.result() == http::status::switching_protocols || ++interim_ > kMostInterim;
+      return over ? Finish(Outcome::kReset) : Read();
+    }
+    // An answer that only the connection's end delimits cannot be told from one cut short.
+    if (!FramingIsPlain(header, header.version()) || (parser_->need_eof() && !parser_->chunked()))
+      return Finish(Outcome::kReset);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](const Error& failed, std::size_t) {
                        if (!self->done_) return;
-                       // An answer that only the connection's end delimits cannot be told from one cut short.
-                       if (failed || (self->parser_->need_eof() && !self->parser_->chunked()))
-                         return self->Finish(Outcome::kReset);
+                       if (failed) return self->Finish(Outcome::kReset);
                        self->reusable_ = self->parser_->keep_alive() && self->buffer_.size() == 0;
                        HttpResponse response = self->parser_->release();
-                       if (response.result_int() < 200)
-                         self->reusable_ = false;  // the answer proper is still to come
                        const Outcome outcome = OutcomeOf(response);
                        self->Finish(outcome, std::move(response));
                      });
@@ -161,14 +206,19 @@
     const auto self = shared_from_this();
     const AttemptDone done = std::exchange(done_, nullptr);
     request_ = {};
+    head_ = {};
     parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();  // what stands idle keeps no memory
     // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
     if (std::exchange(reusable_, false) && owner_) {
       owner_->Keep(self);
     } else {
       Close();
     }
-    done({outcome, std::move(response)});
+    // Where one answer stays away, the idle connections may lead nowhere too.
+    if (outcome == Outcome::kTimeout && owner_) owner_->CloseIdle(server_);
+    done({outcome, std::move(response), outcome == Outcome::kMoot});
   }
 
   Backends* owner_;
@@ -178,11 +228,13 @@
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_{kMostBody + kMostAnswerHeader};
   std::optional<http::response_parser<http::string_body>> parser_;
-  HttpRequest request_;
-  AttemptDone done_;  // set while an attempt is out
+  std::shared_ptr<const HttpRequest> request_;
+  http::request<http::span_body<const char>> head_;  // the request as it is written; its body is request_'s
+  AttemptDone done_;                                 // set while an attempt is out
   Steady::time_point deadline_{}, idle_since_{};
   std::uint64_t use_ = 0;
-  bool written_ = false, reusable_ = false, closed_ = false;
+  int interim_ = 0;
+  bool written_ = false, begun_ = false, reusable_ = false, closed_ = false;
 };
 
 Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
@@ -226,7 +278,13 @@
   for (const auto& connection : idle) connection->Close();
 }
 
-void Backends::Send(ServerId server, HttpRequest request, Duration timeout, AttemptDone done) {
+void Backends::Forget(ServerId server) {
+  const auto found = backends_.find(server);
+  if (found != backends_.end() && !found->second.usable && found->second.live == 0) backends_.erase(found);
+}
+
+void Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
+                    AttemptDone done) {
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
@@ -236,20 +294,29 @@
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
+  ++backend.live;
   connection->Assign(std::move(request), timeout, std::move(done));
-  // A backend that never had an address, or a pool that is full of attempts: it could not connect.
-  if (backend.address.port() == 0 || (open_ > limits_.connections && !CloseOldestIdle()))
-    return connection->FinishSoon(Outcome::kConnectFailed);
+  // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
+  // fault.
+  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
+  if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
   ++opened_;
   connection->Open(backend.address, limits_.connect_timeout);
 }
 
+// The most recently used of those that have rested. A backend may close just after an answer, or send more
+// than belongs to it: what has rested has shown that.
 std::shared_ptr<Backends::Connection> Backends::TakeIdle(Backend& backend) {
-  while (!backend.idle.empty()) {
-    const auto connection = std::move(backend.idle.back());
-    backend.idle.pop_back();
-    if (connection->Alive()) return connection;
+  const auto rested_since = Steady::now() - limits_.patience.rest;
+  auto end = backend.idle.end();
+  while (end != backend.idle.begin() && (*std::prev(end))->idle_since() > rested_since) --end;
+  while (end != backend.idle.begin()) {
+    const auto connection = *--end;
+    end = backend.idle.erase(end);
+    if (connection->Quiet()) return connection;
+    const auto place = end - backend.idle.begin();
     connection->Close();
+    end = backend.idle.begin() + place;
   }
   return nullptr;
 }
@@ -266,16 +333,20 @@
 }
 
 void Backends::Keep(const std::shared_ptr<Connection>& connection) {
-  Backend& backend = backends_[connection->server()];
+  const auto found = backends_.find(connection->server());
+  if (found == backends_.end()) return connection->Close();
+  Backend& backend = found->second;
   if (!backend.usable || backend.generation != connection->generation()) return connection->Close();
   backend.idle.push_back(connection);
   connection->WatchIdle(limits_.conn_idle * kIdleShare);
 }
 
 void Backends::Drop(const Connection* connection) {
-  if (live_.erase(connection) > 0) --open_;
+  const bool was_live = live_.erase(connection) > 0;
+  open_ -= was_live;
   const auto found = backends_.find(connection->server());
   if (found == backends_.end()) return;
+  found->second.live -= was_live;
   std::erase_if(found->second.idle, [&](const auto& idle) { return idle.get() == connection; });
 }
 
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -7,8 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,17 +16,14 @@
 #include <vector>
 
 #include "brackenspoke/balancer.h"
+#include "framing.h"
 
 namespace brackenspoke::proxy {
 
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
-
-inline constexpr std::size_t kMostBody = 64 * 1024;  // of the protocol, either way
-
 struct AttemptResult {
   Outcome outcome = Outcome::kUnknown;
-  HttpResponse response;  // of kOk, whole
+  HttpResponse response;  // of kOk, whole; of kUnknown, where the backend turned the request away as faulty
+  bool local = false;     // of kMoot: it could not begin for want of descriptors or places here
 };
 using AttemptDone = std::function<void(AttemptResult)>;
 
@@ -38,6 +33,7 @@
     Duration connect_timeout{250};
     Duration conn_idle{15000};
     std::size_t connections = 300;  // over all backends
+    Patience patience{};
   };
 
   Backends(boost::asio::io_context& io, Limits limits);
@@ -53,11 +49,16 @@
   void RetireOthers(const std::unordered_set<ServerId>& named);
   void CloseIdle(ServerId server);
 
-  // One attempt. `done` is called once, never from within this call, and not after the destructor.
-  void Send(ServerId server, HttpRequest request, Duration timeout, AttemptDone done);
+  // Drops what is known of a backend that is retired.
+  void Forget(ServerId server);
+
+  // One attempt with the request as it came, but for how long its answer will be waited for. `done` is called
+  // once, never from within this call, and not after the destructor.
+  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done);
 
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
+  std::size_t known() const { return backends_.size(); }
 
  private:
   class Connection;
@@ -68,6 +69,7 @@
     std::uint64_t generation = 0;  // connections of an older one are not kept
     bool usable = false;
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
+    std::size_t live = 0;                           // connections, in use and idle
   };
 
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -4,15 +4,12 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -25,125 +22,55 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostHeader = 16 * 1024;
-constexpr std::chrono::seconds kIdleOrSlow{90};      // for a request to come whole
-constexpr std::chrono::seconds kSlowWrite{10};       // for an answer to be taken
 constexpr std::chrono::milliseconds kPause{50};      // after a failed accept
 constexpr std::chrono::milliseconds kHalfRead{500};  // at the stop, for the rest of a request to come
 constexpr std::chrono::milliseconds kLookAgain{10};
-constexpr double kMostDeadlineMs = 3600 * 1000;
-constexpr double kMostCostUs = 1e12;
+constexpr std::chrono::milliseconds kSweep{50};
+constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
 constexpr const char* kText = "text/plain";
 
-std::optional<double> Number(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
-  return value;
-}
-
-std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
-
-int IndexOf(const std::vector<std::string>& names, std::string_view name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  return found == names.end() ? -1 : static_cast<int>(found - names.begin());
-}
-
-// What the request is about; 0 if it does not say.
-std::uint64_t KeyOf(boost::beast::string_view cookie) {
-  std::string list("; ");
-  list.append(cookie.data(), cookie.size());
-  for (const auto& [name, value] : http::param_list(list)) {
-    if (name == "obj") return value.empty() ? 0 : std::max<std::uint64_t>(1, StableHash(View(value)));
-  }
-  return 0;
-}
-
-std::string_view FirstOfPath(std::string_view target) {
-  if (!target.empty() && target.front() == '/') target.remove_prefix(1);
-  return target.substr(0, target.find_first_of("/?"));
-}
-
-// Headers that concern one connection only, and so must not go on.
-void EraseHopByHop(HttpRequest& message) {
-  std::vector<std::string> named;
-  for (const auto& token : http::token_list(message[http::field::connection])) named.emplace_back(token);
-  for (const std::string& name : named) message.erase(name);
-  for (const http::field field :
-       {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
-        http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect})
-    message.erase(field);
-}
-
 }  // namespace
 
-std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
-                                    ClientRequest* request) {
-  const auto bad = [](const char* what) { return Complaint{http::status::bad_request, what}; };
-  const auto kind = message.find("Req-Kind");
-  request->request_class = IndexOf(
-      config.classes, kind != message.end() ? View(kind->value()) : FirstOfPath(View(message.target())));
-  if (request->request_class < 0) return Complaint{http::status::not_found, "unknown class"};
-  const ClassSettings& c = config.settings.classes[request->request_class];
-  const http::verb method = c.effect == Effect::kSafe ? http::verb::get : http::verb::post;
-  if (message.method() != method) return Complaint{http::status::method_not_allowed, "wrong method"};
-  if (message["Req-Id"].empty()) return bad("Req-Id is missing");
-  if (c.effect == Effect::kKeyed && message["Idempotency-Key"].empty())
-    return bad("Idempotency-Key is missing");
-
-  double deadline_ms = c.deadline.count();
-  if (const auto text = message.find("Req-Deadline-Ms"); text != message.end()) {
-    const auto value = Number(View(text->value()));
-    if (!value || *value < 0) return bad("Req-Deadline-Ms is no number");
-    deadline_ms = std::min(*value, kMostDeadlineMs);
-  }
-  request->due = read_at + std::chrono::duration_cast<Steady::duration>(Duration(deadline_ms));
-  if (const auto text = message.find("Req-Cost"); text != message.end()) {
-    const auto value = Number(View(text->value()));
-    if (!value || *value < 0) return bad("Req-Cost is no number");
-    request->has_hint = true;
-    request->work_ms = std::min(*value, kMostCostUs) / 1000;
-  }
-  if (!config.tenants.empty()) {
-    request->tenant = IndexOf(config.tenants, View(message["Req-Owner"]));
-    if (request->tenant < 0) return bad("unknown Req-Owner");
-  }
-  request->client_retry = message["Req-Retry"] == "1";
-  request->key = KeyOf(message[http::field::cookie]);
-
-  EraseHopByHop(message);
-  message.version(11);
-  message.prepare_payload();
-  request->message = std::move(message);
-  return std::nullopt;
-}
-
 class Clients::Session : public std::enable_shared_from_this<Session>, public Responder {
  public:
-  Session(Clients& owner, Tcp::socket socket) : owner_(&owner), stream_(std::move(socket)) {}
+  Session(Clients& owner, Tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
   void Start() {
     Error ignored;
-    stream_.socket().set_option(Tcp::no_delay(true), ignored);
-    Read();
+    socket_.set_option(Tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    Wait(patience().whole_request);
   }
 
   // Between requests, with none on its way as far as can be seen.
-  bool Idle() {
+  bool Idle() const {
     Error error;
-    return state_ == State::kReading && buffer_.size() == 0 && !parser_->got_some() &&
-           stream_.socket().available(error) == 0;
+    return state_ == State::kWaiting && socket_.available(error) == 0;
   }
-  bool Reading() const { return state_ == State::kReading; }
+  bool Reading() const { return state_ == State::kWaiting || state_ == State::kReading; }
   bool Holds() const { return state_ == State::kHeld; }
   // Owes an answer, or the rest of one.
-  bool Owes() const { return Holds() || (state_ == State::kWriting && !draining_); }
+  bool Owes() const { return Holds() || state_ == State::kWriting; }
+  // For how long it has been without a request, of one that asked before.
+  bool SpareSince(Steady::time_point at) const { return asked_ && since_ <= at && Idle(); }
+  bool SilentSince(Steady::time_point at) const { return !asked_ && since_ <= at && Idle(); }
+
+  // Ends what has taken too long.
+  void EndIfDue(Steady::time_point now) {
+    if (now < until_) return;
+    if (state_ != State::kReading) return Close();
+    Error ignored;
+    socket_.cancel(ignored);
+    TurnAway(http::status::request_timeout, "too slow");
+  }
 
   void Close() {
     if (state_ == State::kClosed) return;
     state_ = State::kClosed;
-    stream_.close();
+    Error ignored;
+    socket_.close(ignored);
     if (owner_) owner_->Remove(this);
   }
 
@@ -173,12 +100,18 @@
   void Failed() override {
     if (Holds()) Write(Plain(http::status::bad_gateway, "failed\n"));
   }
+  void Rejected(http::status status) override {
+    if (Holds()) TurnAway(status, "found faulty");
+  }
 
  private:
-  enum class State { kReading, kHeld, kWriting, kClosed };
+  // Waiting for the first byte of a request, and then for its last.
+  enum class State { kWaiting, kReading, kHeld, kWriting, kDraining, kClosed };
 
   using Parser = http::request_parser<http::string_body>;
 
+  const Patience& patience() const { return owner_->config_.patience; }
+
   static HttpResponse Plain(http::status status, std::string text) {
     HttpResponse response{status, 11};
     response.set(http::field::content_type, kText);
@@ -186,25 +119,50 @@
     return response;
   }
 
-  void Read() {
-    state_ = State::kReading;
+  // Each state has one time limit: it does not begin anew with each byte.
+  void Enter(State state, std::optional<Steady::duration> at_most) {
+    state_ = state;
+    since_ = Steady::now();
+    until_ = at_most ? since_ + *at_most : Steady::time_point::max();
+    owner_->sessions_.splice(owner_->sessions_.end(), owner_->sessions_, place);
+  }
+
+  void Wait(Steady::duration at_most) {
+    Enter(State::kWaiting, at_most);
+    parser_.reset();
+    if (buffer_.size() > 0) return Begin();  // the next request came right behind the last
+    buffer_.shrink_to_fit();                 // what stands idle keeps no memory
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error& failed) {
+      if (self->state_ != State::kWaiting) return;
+      if (failed) return self->Close();
+      self->Begin();
+    });
+  }
+
+  void Begin() {
+    // A first request's time counts from the connection's start.
+    Enter(State::kReading, asked_ ? Steady::duration(patience().whole_request) : until_ - Steady::now());
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
-    stream_.expires_after(kIdleOrSlow);
-    http::async_read_header(
-        stream_, buffer_, *parser_, [self = shared_from_this()](const Error& failed, std::size_t) {
-          if (self->state_ != State::kReading) return;
-          if (failed) return self->OnUnreadable(failed);
-          if (boost::beast::iequals(self->parser_->get()[http::field::expect], "100-continue"))
-            return self->Continue();
-          self->ReadBody();
-        });
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](const Error& failed, std::size_t) {
+                              if (self->state_ != State::kReading) return;
+                              if (failed) return self->OnUnreadable(failed);
+                              self->OnHeader();
+                            });
+  }
+
+  void OnHeader() {
+    const auto& header = parser_->get();
+    if (const auto complaint = CheckHeader(header)) return TurnAway(complaint->status, complaint->text);
+    if (boost::beast::iequals(header[http::field::expect], "100-continue")) return Continue();
+    ReadBody();
   }
 
   void Continue() {
     const auto go_on = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
-    http::async_write(stream_, *go_on, [self = shared_from_this(), go_on](const Error& failed, std::size_t) {
+    http::async_write(socket_, *go_on, [self = shared_from_this(), go_on](const Error& failed, std::size_t) {
       if (self->state_ != State::kReading) return;
       if (failed) return self->Close();
       self->ReadBody();
@@ -212,7 +170,7 @@
   }
 
   void ReadBody() {
-    http::async_read(stream_, buffer_, *parser_,
+    http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](const Error& failed, std::size_t) {
                        if (self->state_ != State::kReading) return;
                        if (failed) return self->OnUnreadable(failed);
@@ -224,15 +182,14 @@
     const bool from_parser = failed.category() == http::make_error_code(http::error::bad_version).category();
     if (!from_parser || failed == http::error::end_of_stream || failed == http::error::partial_message)
       return Close();
-    last_ = true;
-    Write(failed == http::error::body_limit ? Plain(http::status::payload_too_large, "too large\n")
-          : failed == http::error::header_limit || failed == http::error::buffer_overflow
-              ? Plain(http::status::request_header_fields_too_large, "header too large\n")
-              : Plain(http::status::bad_request, "malformed\n"));
+    if (failed == http::error::body_limit) return TurnAway(http::status::payload_too_large, "too large");
+    if (failed == http::error::header_limit || failed == http::error::buffer_overflow)
+      return TurnAway(http::status::request_header_fields_too_large, "header too large");
+    TurnAway(http::status::bad_request, "malformed");
   }
 
   void OnRead(Steady::time_point at) {
-    stream_.expires_never();
+    asked_ = true;
     HttpRequest message = parser_->release();
     last_ = !message.keep_alive();
     if (message.method() == http::verb::get && message.target() == "/ready") {
@@ -242,63 +199,68 @@
     }
     ClientRequest request;
     if (const auto complaint = Understand(std::move(message), at, owner_->config_, &request))
-      return Write(Plain(complaint->status, complaint->text + '\n'));
-    state_ = State::kHeld;
-    owner_->sessions_.splice(owner_->sessions_.end(), owner_->sessions_, place);
+      return TurnAway(complaint->status, complaint->text);
+    const auto id = request.message["Req-Id"];
+    if (owner_->handler_.IsOpen({id.data(), id.size()}))
+      return TurnAway(http::status::conflict, "Req-Id is that of an open request");
+    Enter(State::kHeld, std::nullopt);
     request_ = owner_->handler_.OnRequest(std::move(request), shared_from_this());
     if (state_ == State::kHeld) WatchClient();
   }
 
   // A client that closes its connection while its request is held has gone.
   void WatchClient() {
-    stream_.socket().async_wait(
-        Tcp::socket::wait_read, [self = shared_from_this(), of = request_](const Error& failed) {
-          if (failed || !self->Holds() || self->request_ != of) return;
-          Error error;
-          char byte;
-          self->stream_.socket().non_blocking(true, error);
-          if (!error)
-            self->stream_.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-          // The start of a next request: it waits for this one's answer, and is not looked at before.
-          if (!error || error == asio::error::would_block) return;
-          const auto owner = self->owner_;
-          self->Close();
-          owner->handler_.OnClientGone(of);
-        });
+    socket_.async_wait(Tcp::socket::wait_read,
+                       [self = shared_from_this(), of = request_](const Error& failed) {
+                         if (failed || !self->Holds() || self->request_ != of) return;
+                         Error error;
+                         char byte;
+                         self->socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+                         // The start of a next request: it waits for this one's answer, and is not looked at
+                         // before.
+                         if (!error || error == asio::error::would_block) return;
+                         const auto owner = self->owner_;
+                         self->Close();
+                         owner->handler_.OnClientGone(of);
+                       });
+  }
+
+  // A client in error is not listened to any further: what follows may be the rest of what could not be read.
+  void TurnAway(http::status status, std::string text) {
+    last_ = true;
+    Write(Plain(status, std::move(text) + '\n'));
   }
 
   void Write(HttpResponse response) {
-    state_ = State::kWriting;
+    Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
     last_ |= owner_->stopping_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
-    stream_.socket().cancel(ignored);  // the watch for the client's end
-    stream_.expires_after(kSlowWrite);
-    http::async_write(stream_, response_, [self = shared_from_this()](const Error& failed, std::size_t) {
+    socket_.cancel(ignored);  // the watch for the client's end
+    http::async_write(socket_, response_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (self->state_ != State::kWriting) return;
       self->response_ = {};
       if (failed) return self->Close();
       if (self->last_) return self->CloseGently();
-      self->Read();
+      self->Wait(self->patience().kept);
       if (self->owner_->waiting_for_room_) self->owner_->Accept();
     });
   }
 
   // Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
   void CloseGently() {
-    draining_ = true;
+    Enter(State::kDraining, patience().drained);
     Error ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
     Drain();
   }
   void Drain() {
     buffer_.clear();
-    stream_.expires_after(std::chrono::seconds(1));
-    stream_.async_read_some(buffer_.prepare(4096),
+    socket_.async_read_some(buffer_.prepare(4096),
                             [self = shared_from_this()](const Error& failed, std::size_t n) {
-                              if (self->state_ != State::kWriting) return;
+                              if (self->state_ != State::kDraining) return;
                               self->drained_ += n;
                               if (failed || self->drained_ > 4 * kMostBody) return self->Close();
                               self->Drain();
@@ -306,15 +268,16 @@
   }
 
   Clients* owner_;
-  boost::beast::tcp_stream stream_;
+  Tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBody + kMostHeader};
   std::optional<Parser> parser_;
   HttpResponse response_;
   RequestId request_ = 0;
   std::size_t drained_ = 0;
-  State state_ = State::kReading;
-  bool last_ = false;  // the connection closes after this answer
-  bool draining_ = false;
+  State state_ = State::kWaiting;
+  Steady::time_point since_{}, until_{};  // of the state
+  bool asked_ = false;                    // has sent a whole request
+  bool last_ = false;                     // the connection closes after this answer
 };
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
@@ -325,7 +288,8 @@
       handler_(handler),
       acceptor_(io),
       pause_(io),
-      grace_(io) {
+      grace_(io),
+      sweep_(io) {
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
   acceptor_.bind(config.listen);
@@ -350,6 +314,7 @@
     if (failed == asio::error::operation_aborted) return;
     // Guards against spinning when descriptors run out: the queue stays readable all the while.
     if (failed) return AcceptLater();
+    if (sessions_.empty()) Sweep();
     sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
     const auto session = sessions_.back();
     session->place = std::prev(sessions_.end());
@@ -366,15 +331,46 @@
   });
 }
 
+// Gives up the connection that has stood idle for the longest; failing that, the oldest of those that never
+// said anything. Those that are fresh stay, since their request may be on its way.
 bool Clients::MakeRoom() {
-  const auto idle =
-      std::find_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->Idle(); });
-  if (idle == sessions_.end()) return false;
-  const auto session = *idle;
+  const auto now = Steady::now();
+  auto found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
+    return session->SpareSince(now - config_.patience.spare);
+  });
+  if (found == sessions_.end()) {
+    found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
+      return session->SilentSince(now - config_.patience.silent);
+    });
+  }
+  if (found == sessions_.end()) return false;
+  const auto session = *found;
+  const bool waiting = std::exchange(waiting_for_room_, false);  // whoever asks goes on by itself
   session->Close();
+  waiting_for_room_ = waiting;
   return true;
 }
 
+// Ends what has taken too long, and makes room ahead of need.
+void Clients::Sweep() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](const Error& cancelled) {
+    if (cancelled) return;
+    const auto now = Steady::now();
+    const auto mark = static_cast<std::size_t>(static_cast<double>(most_connections_) * kRoomy);
+    for (auto it = sessions_.begin(); it != sessions_.end();) {
+      const auto session = *it++;
+      if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
+        session->Close();
+      } else {
+        session->EndIfDue(now);
+      }
+    }
+    if (waiting_for_room_) Accept();
+    if (!sessions_.empty()) Sweep();
+  });
+}
+
 void Clients::Remove(Session* session) {
   sessions_.erase(session->place);
   if (waiting_for_room_) Accept();
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -21,26 +21,6 @@
 
 namespace brackenspoke::proxy {
 
-// A request as read from a client, its headers understood.
-struct ClientRequest {
-  HttpRequest message;  // what goes on to backends
-  Steady::time_point due{};
-  int request_class = 0;
-  int tenant = 0;
-  std::uint64_t key = 0;
-  bool has_hint = false, client_retry = false;
-  double work_ms = 0;
-};
-
-struct Complaint {
-  boost::beast::http::status status = boost::beast::http::status::bad_request;
-  std::string text;
-};
-
-// Understands the headers of a request whose last byte was read at `read_at`; a complaint if it can't.
-std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
-                                    ClientRequest* request);
-
 // Where the one answer to a request goes.
 class Responder {
  public:
@@ -48,6 +28,8 @@
   virtual void Served(HttpResponse answer) = 0;
   virtual void Refused(Duration retry_after) = 0;
   virtual void Failed() = 0;
+  // A backend found the request itself faulty.
+  virtual void Rejected(boost::beast::http::status status) = 0;
 };
 
 // What is done with requests. Neither call may throw.
@@ -57,6 +39,8 @@
   virtual RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) = 0;
   virtual void OnClientGone(RequestId request) = 0;
   virtual bool Ready() const = 0;
+  // Whether a request of this Req-Id has no answer yet, or an attempt of it is out.
+  virtual bool IsOpen(std::string_view id) const = 0;
 };
 
 class Clients {
@@ -82,6 +66,7 @@
   void Accept();
   void AcceptLater();
   bool MakeRoom();
+  void Sweep();
   void Remove(Session* session);
   void Shut();
 
@@ -90,8 +75,8 @@
   std::size_t most_connections_;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, grace_;
-  std::list<std::shared_ptr<Session>> sessions_;  // the longest unused first
+  boost::asio::steady_timer pause_, grace_, sweep_;
+  std::list<std::shared_ptr<Session>> sessions_;  // in the order of their last change of state
   bool waiting_for_room_ = false, stopping_ = false, shut_ = false;
   std::function<void()> stopped_;
   Steady::time_point half_read_until_{};
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -5,6 +5,7 @@
 #define BRACKENSPOKE_PROXY_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <stdexcept>
@@ -23,6 +24,20 @@
   using std::runtime_error::runtime_error;
 };
 
+// How long things are waited for.
+struct Patience {
+  using Ms = std::chrono::milliseconds;
+  Ms whole_request{2200};  // from a connection's start, or a next request's first byte, to its last
+  Ms kept{90000};          // for a client's next request
+  Ms spare{2000};          // after which a connection with no request open may make room for others
+  Ms silent{250};          // the same of one that never sent anything
+  Ms answer_taken{10000};  // for a client to take its answer
+  Ms drained{1000};        // for a client to close after its last answer
+  Ms answer_whole{500};    // from an answer's first byte to its last
+  Ms rest{30};             // before a connection to a backend is used again
+  Ms forgotten{900000};    // after which nothing is known of a backend that has gone
+};
+
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
@@ -32,6 +47,7 @@
   std::vector<std::string> classes, tenants, zones, kinds;  // their names, by index
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
+  Patience patience;
   MemberList known;
 };
 
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -38,6 +38,8 @@
   // Begins a watch from the last revision applied, in place of one that is open.
   void Watch();
 
+  std::uint64_t revision() const { return options_.revision; }  // the last one applied
+
   // From now on discovery is elsewhere. Its revisions need not go on from those known, so that its whole list
   // is taken first; the watch that is open stays until that has come.
   void Move(const boost::asio::ip::tcp::endpoint& address);
--- a/src/proxy/members.cpp
+++ b/src/proxy/members.cpp
@@ -113,4 +113,11 @@
   }
 }
 
+void ServerNumbers::Forget(const std::string& id) {
+  const auto found = numbers_.find(id);
+  if (found == numbers_.end()) return;
+  taken_.erase(found->second);
+  numbers_.erase(found);
+}
+
 }  // namespace brackenspoke::proxy
--- a/src/proxy/members.h
+++ b/src/proxy/members.h
@@ -54,6 +54,8 @@
   // Numbers every id of a list, then `Of` finds them.
   void Learn(const std::vector<Member>& members);
   ServerId Of(const std::string& id) const { return numbers_.at(id); }
+  void Forget(const std::string& id);
+  const std::unordered_map<std::string, ServerId>& all() const { return numbers_; }
 
  private:
   Hash hash_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,7 +2,6 @@
 #include "proxy.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdio>
 #include <unordered_set>
 #include <utility>
@@ -10,15 +9,19 @@
 namespace brackenspoke::proxy {
 namespace {
 
-// Descriptors: what is neither a client's nor a backend's, and the clients' part of the rest.
-constexpr int kOtherDescriptors = 40;
+// Descriptors: what is neither a client's nor a backend's (standard streams, the event loop, the listener,
+// watches of discovery, a connection being accepted), and the clients' part of the rest. Of the clients',
+// those with a request open are a half; the others have to make room when they stand idle.
+constexpr int kOtherDescriptors = 24;
 constexpr double kClientShare = 0.6;
 constexpr TimePoint kUnarmed{Duration(1e300)};
-constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+constexpr Duration kLocalRest{1000};  // for clients turned away for want of descriptors
+constexpr Duration kStopGrace{600};   // connections go on coming for up to 400 ms after SIGTERM
 
 Backends::Limits BackendLimits(const Config& config) {
   const double rest = config.sockets - kOtherDescriptors;
-  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare))};
+  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare)),
+          config.patience};
 }
 
 std::size_t ClientLimit(const Config& config) {
@@ -125,7 +128,32 @@
     }
   }
   listed_ |= !list.members.empty();
+  std::unordered_set<std::string_view> here;
+  for (const Member& m : list.members) {
+    if (m.state == ServerState::kGone) {
+      gone_since_.try_emplace(m.id, Steady::now());
+    } else {
+      here.insert(m.id);
+      gone_since_.erase(m.id);
+    }
+  }
+  if (kind != ListKind::kDelta) {
+    for (const auto& [id, number] : numbers_.all()) {
+      if (!here.contains(id)) gone_since_.try_emplace(id, Steady::now());
+    }
+  }
   Feed(std::move(update));
+  ForgetLongGone();
+}
+
+// Ids are ever new: what has been gone for longer than the module remembers it has no number any more.
+void Proxy::ForgetLongGone() {
+  std::erase_if(gone_since_, [this, until = Steady::now() - config_.patience.forgotten](const auto& gone) {
+    if (gone.second > until) return false;
+    backends_->Forget(numbers_.Of(gone.first));
+    numbers_.Forget(gone.first);
+    return true;
+  });
 }
 
 // A zone that the settings don't name is a zone of its own, none of those that they do.
@@ -147,7 +175,8 @@
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
   Pending& pending = pending_[id];
-  pending.message = std::move(request.message);
+  open_ids_.emplace(request.message["Req-Id"]);
+  pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
   pending.responder = std::move(responder);
   Feed(submit);
@@ -179,9 +208,7 @@
   pending.attempt_out = true;
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
-  HttpRequest message = pending.message;
-  message.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
-  backends_->Send(action.server, std::move(message), timeout,
+  backends_->Send(action.server, pending.message, timeout,
                   [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
                     OnAttemptDone(id, attempt, server, now, std::move(result));
                   });
@@ -199,6 +226,17 @@
   if (found != pending_.end()) found->second.attempt_out = false;
   if (result.outcome == Outcome::kOk) {
     if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
+  } else if (result.outcome == Outcome::kUnknown) {
+    if (const auto responder = Conclude(request)) responder->Rejected(result.response.result());
+  } else if (result.local) {
+    // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
+    if (const auto responder = Conclude(request)) {
+      if (attempt == 0) {
+        responder->Refused(kLocalRest);
+      } else {
+        responder->Failed();
+      }
+    }
   }
   end.settled = found == pending_.end() || !found->second.responder;
   ForgetIfOver(request);
@@ -213,8 +251,9 @@
 
 void Proxy::ForgetIfOver(RequestId request) {
   const auto found = pending_.find(request);
-  if (found != pending_.end() && !found->second.responder && !found->second.attempt_out)
-    pending_.erase(found);
+  if (found == pending_.end() || found->second.responder || found->second.attempt_out) return;
+  open_ids_.erase(std::string((*found->second.message)["Req-Id"]));
+  pending_.erase(found);
 }
 
 void Proxy::Do(const Refuse& action) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,7 +12,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "backends.h"
@@ -40,16 +42,19 @@
 
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnClientGone(RequestId request) override;
+  bool IsOpen(std::string_view id) const override { return open_ids_.contains(std::string(id)); }
   bool Ready() const override { return listed_; }
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
   std::size_t backend_connections() const { return backends_->connections(); }
+  std::uint64_t last_revision() const { return discovery_->revision(); }
+  std::size_t backends_known() const { return backends_->known(); }
   std::size_t held() const { return pending_.size(); }
 
  private:
   // From its Submit until it has its answer and no attempt is out.
   struct Pending {
-    HttpRequest message;
+    std::shared_ptr<const HttpRequest> message;
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
@@ -59,6 +64,7 @@
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
+  void ForgetLongGone();
   int ZoneOf(const std::string& name) const;
 
   void Do(const Dispatch& action);
@@ -80,6 +86,8 @@
   Balancer balancer_;
   ServerNumbers numbers_;
   std::unordered_map<RequestId, Pending> pending_;
+  std::unordered_set<std::string> open_ids_;  // Req-Id of those pending
+  std::unordered_map<std::string, Steady::time_point> gone_since_;
   RequestId last_request_ = 0;
   std::deque<Event> events_;
   bool handling_ = false;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -309,8 +309,8 @@
 // The proxy, its event loop on a thread of its own.
 class RunningProxy {
  public:
-  explicit RunningProxy(const nlohmann::json& config)
-      : io_(1), proxy_(std::make_unique<proxy::Proxy>(io_, ConfigOf(config))), address(proxy_->address()) {
+  explicit RunningProxy(proxy::Config config)
+      : io_(1), proxy_(std::make_unique<proxy::Proxy>(io_, std::move(config))), address(proxy_->address()) {
     thread_ = std::thread([this] { io_.run(); });
   }
   ~RunningProxy() {
@@ -391,6 +391,12 @@
 inline std::string Change() { return Post("change", "Idempotency-Key: 7e\r\n"); }
 inline std::string Book() { return Post("book"); }
 
+// The same under another Req-Id.
+inline std::string WithId(std::string request, const std::string& id) {
+  const std::size_t from = request.find("Req-Id: ") + 8;
+  return request.replace(from, request.find("\r\n", from) - from, id);
+}
+
 }  // namespace brackenspoke::testing
 
 #endif  // BRACKENSPOKE_TESTS_LOOPBACK_H_
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -15,10 +15,15 @@
 struct Site {
   explicit Site(std::vector<nlohmann::json> known)
       : config(ConfigJson(discovery.address(), std::move(known))) {}
-  void Start() { proxy = std::make_unique<RunningProxy>(config); }
+  void Start() {
+    proxy::Config all = ConfigOf(config);
+    all.patience = patience;
+    proxy = std::make_unique<RunningProxy>(std::move(all));
+  }
 
   FakeDiscovery discovery;
   nlohmann::json config;
+  proxy::Patience patience;
   std::unique_ptr<RunningProxy> proxy;
 };
 
@@ -195,6 +200,7 @@
     return true;
   });
   Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = {};
   site.Start();
   {
     Client client(site.proxy->address);
@@ -213,6 +219,7 @@
 TEST(Proxy, RequestsOneAfterTheOtherShareAConnection) {
   Backend backend;
   Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = {};
   site.Start();
   Client client(site.proxy->address);
   for (int i = 0; i < 5; ++i) EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
@@ -446,6 +453,308 @@
   EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
 }
 
+// ---- backends that are not to be believed ---------------------------------------------------------------
+TEST(Proxy, InterimAnswersAreSkippedAndTheFinalOneServed) {
+  Backend backend([](Tcp::socket& s, const HttpRequest&) {
+    SendRaw(
+        s, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OkAnswer("final"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(Book()).body(), "final");
+}
+
+TEST(Proxy, InterimAnswersWithoutEndAreAFailure) {
+  Backend backend([](Tcp::socket& s, const HttpRequest&) {
+    for (int i = 0; i < 50; ++i) SendRaw(s, "HTTP/1.1 103 Early Hints\r\n\r\n");
+    SendRaw(s, OkAnswer("too late"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(Book()).result_int(), 502u);
+}
+
+TEST(Proxy, AnswersThatCanBeReadInTwoWaysAreFailuresAndTheirConnectionsCloseAtOnce) {
+  for (const char* head :
+       {"Content-Length: 4\r\nContent-Length: 4\r\n", "Content-Length: 4, 4\r\n", "Content-Length: +4\r\n",
+        "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Connection: keep-alive\r\n", "Content-Length: 3000000000\r\n"}) {
+    // The backend keeps its side open, so that only the proxy can end the connection.
+    Backend backend([head](Tcp::socket& s, const HttpRequest&) {
+      SendRaw(s, std::string("HTTP/1.1 200 OK\r\n") + head + "\r\nbody");
+      return true;
+    });
+    Site site(Members(MemberJson("s-1", backend.address())));
+    site.Start();
+    Client client(site.proxy->address);
+    EXPECT_EQ(client.Ask(Book()).result_int(), 502u) << head;
+    EXPECT_TRUE(backend.WaitForClosed(1)) << head;
+    EXPECT_EQ(backend.seen.Get().requests.size(), 1u) << head;
+  }
+}
+
+TEST(Proxy, AnAnswerThatBeginsAndStallsIsGivenUp) {
+  Backend backend([](Tcp::socket& s, const HttpRequest& r) {
+    SendRaw(s, r["Req-Kind"] == "book" ? "HTTP/1.1 200 OK\r\nContent-" : OkAnswer("well"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.answer_whole = std::chrono::milliseconds(20);
+  site.Start();
+  Client client(site.proxy->address);
+  // Its deadline is a minute away: longer than the test waits.
+  EXPECT_EQ(client.Ask(Book()).result_int(), 502u);
+  EXPECT_TRUE(backend.WaitForClosed(1));
+  EXPECT_EQ(client.Ask(Look()).body(), "well");
+}
+
+TEST(Proxy, AConnectionThatBroughtMoreThanItsAnswerIsNotUsedAgain) {
+  Backend backend([](Tcp::socket& s, const HttpRequest& r) {
+    const std::string answer = OkAnswer(std::string(r["Req-Id"]));
+    SendRaw(s, answer + answer);
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = {};
+  site.Start();
+  Client client(site.proxy->address);
+  for (const char* id : {"a1", "a2", "a3"}) EXPECT_EQ(client.Ask(WithId(Book(), id)).body(), id);
+  EXPECT_EQ(backend.seen.Get().opened, 3);
+}
+
+TEST(Proxy, AConnectionRestsBeforeItIsUsedAgain) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = std::chrono::hours(1);
+  site.Start();
+  Client client(site.proxy->address);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
+  EXPECT_EQ(backend.seen.Get().opened, 3);
+  EXPECT_EQ(site.proxy->Ask([](proxy::Proxy& p) { return p.backend_connections(); }), 3u);
+}
+
+TEST(Proxy, WhatABackendFindsFaultyIsNotTriedElsewhereNorHeldAgainstIt) {
+  Watched<int> asked;
+  const auto judge = [&](Tcp::socket& s, const HttpRequest& r) {
+    if (r["Req-Id"] == "odd") {
+      asked.Do([](int& n) { ++n; });
+      SendRaw(s, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      SendRaw(s, OkAnswer("well"));
+    }
+    return true;
+  };
+  Backend one(judge), two(judge);
+  Site site(Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
+  site.Start();
+  for (int i = 1; i <= 5; ++i) {
+    Client bad(site.proxy->address);
+    EXPECT_EQ(bad.Ask(WithId(Look(), "odd")).result_int(), 400u);
+    EXPECT_TRUE(bad.Ended());
+    EXPECT_EQ(asked.Get(), i);
+  }
+}
+
+TEST(Proxy, WantOfPlacesHereIsRefusedWithoutAnAttempt) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("held"));
+    return true;
+  });
+  asio::io_context io(1);
+  proxy::Backends::Limits limits;
+  limits.connections = 1;
+  proxy::Backends backends(io, limits);
+  backends.Set(1, backend.address(), 0);
+  const auto message = std::make_shared<const HttpRequest>(http::verb::get, "/look", 11);
+  std::vector<proxy::AttemptResult> results;
+  const auto keep = [&](proxy::AttemptResult r) {
+    results.push_back(std::move(r));
+    release.Do([](bool& go) { go = true; });
+  };
+  backends.Send(1, message, Duration(60000), keep);
+  backends.Send(1, message, Duration(60000), keep);
+  while (results.size() < 2) io.run_one();
+  EXPECT_EQ(results[0].outcome, Outcome::kMoot);  // never ran, and says nothing of the backend
+  EXPECT_TRUE(results[0].local);
+  EXPECT_EQ(results[1].outcome, Outcome::kOk);
+}
+
+TEST(Proxy, ATimeOutClosesTheIdleConnectionsToo) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest& r) {
+    if (r["Req-Kind"] == "book") release.WaitFor([](bool go) { return go; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = std::chrono::hours(1);  // so that each request opens a connection
+  site.Start();
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
+  EXPECT_EQ(client.Ask(Post("book", "Req-Deadline-Ms: 100\r\n")).result_int(), 502u);
+  EXPECT_EQ(site.proxy->Ask([](proxy::Proxy& p) { return p.backend_connections(); }), 0u);
+  release.Do([](bool& go) { go = true; });
+}
+
+TEST(Proxy, BackendsLongGoneAreForgotten) {
+  Backend backend;
+  Site site(Members(MemberJson("s-0", backend.address())));
+  site.patience.forgotten = {};
+  site.Start();
+  for (int i = 1; i <= 20; ++i) {
+    site.discovery.Push(
+        ListJson(41 + i, false,
+                 Members(nlohmann::json{{"id", "s-" + std::to_string(i - 1)}, {"phase", "terminated"}},
+                         MemberJson("s-" + std::to_string(i), backend.address()))));
+  }
+  Client client(site.proxy->address);
+  // The last of them serves once the list has come; the one at its address before has left nothing behind.
+  while (site.proxy->Ask([](proxy::Proxy& p) { return p.last_revision(); }) < 61) std::this_thread::yield();
+  EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
+  EXPECT_LE(site.proxy->Ask([](proxy::Proxy& p) { return p.backends_known(); }), 2u);
+}
+
+// ---- clients that are not to be believed ----------------------------------------------------------------
+TEST(Proxy, RequestsThatCanBeReadInTwoWaysAreTurnedAwayAndTheirConnectionsClose) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  const std::string post = "POST /book HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: book\r\n";
+  const std::string hidden = "0\r\n\r\nGET /look HTTP/1.1\r\nHost: x\r\nReq-Id: 2\r\n\r\n";
+  const std::string length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
+  for (const std::string& bytes :
+       {post + "Transfer-Encoding: xchunked\r\n" + length + "\r\n" + hidden,
+        post + length + "Transfer-Encoding: gzip\r\n\r\n" + hidden,
+        post + length + "Transfer-Encoding: chunked\r\n\r\n" + hidden,
+        post + "Transfer-Encoding: chunked\r\n" + length + "\r\n" + hidden,
+        post + "Transfer-Encoding: gzip, chunked\r\n\r\n" + hidden,
+        post + "Transfer-Encoding: gzip\r\n\r\n" + hidden,
+        "POST /book HTTP/1.0\r\nReq-Id: 1\r\nReq-Kind: book\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden,
+        post + "Content-Length: 4\r\nContent-Length: 4\r\n\r\ntext",
+        post + "Content-Length: 4, 4\r\n\r\ntext", post + "Content-Length: -4\r\n\r\ntext",
+        Look("Content-Length: 4\r\n") + "text",
+        Look("Transfer-Encoding: chunked\r\n") + "4\r\ntext\r\n0\r\n\r\n"}) {
+    Client client(site.proxy->address);
+    EXPECT_EQ(client.Ask(bytes).result_int(), 400u) << bytes;
+    EXPECT_TRUE(client.Ended()) << bytes;
+  }
+  EXPECT_EQ(backend.seen.Get().requests.size(), 0u);
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(post + "Transfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n").result_int(), 200u);
+  EXPECT_EQ(backend.seen.Get().requests.at(0).body(), "text");
+}
+
+TEST(Proxy, HeadersThatDoNotFitTogetherAreTurnedAwayAndTheConnectionCloses) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  const std::string bare = "GET /look HTTP/1.1\r\nHost: x\r\n";
+  for (const std::string& bytes :
+       {Look("Req-Id: 0c\r\n"), Look("Req-Kind: look\r\n"),
+        Look("Req-Deadline-Ms: 5\r\nReq-Deadline-Ms: 9\r\n"),
+        Post("change", "Idempotency-Key: 1\r\nIdempotency-Key: 2\r\n"),
+        Post("book", "Idempotency-Key: 1\r\n"), bare + "Req-Id: 1\r\nReq-Kind: book\r\n\r\n",
+        Look("Req-Deadline-Ms: 1e3\r\n"), Look("Req-Deadline-Ms: 1.5\r\n"), Look("Req-Deadline-Ms: 0x10\r\n"),
+        Look("Connection: Req-Id\r\n"), bare + "Req-Id: " + std::string(5000, 'i') + "\r\n\r\n"}) {
+    Client client(site.proxy->address);
+    EXPECT_EQ(client.Ask(bytes).result_int(), 400u) << bytes;
+    EXPECT_TRUE(client.Ended()) << bytes;
+  }
+  EXPECT_EQ(backend.seen.Get().requests.size(), 0u);
+}
+
+TEST(Proxy, ABodyAnnouncedTooLargeIsTurnedAwayAtItsHeader) {
+  Site site(Members());
+  site.Start();
+  for (const char* length : {"60000000", "18446744073709551615", "99999999999999999999999"}) {
+    Client client(site.proxy->address);
+    const unsigned status =
+        client.Ask("POST /book HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: " + std::string(length) + "\r\n\r\n")
+            .result_int();
+    EXPECT_TRUE(status == 413 || status == 400) << length << ": " << status;
+    EXPECT_TRUE(client.Ended());
+  }
+}
+
+TEST(Proxy, TheIdOfAnOpenRequestIsTurnedAway) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool go) { return go; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client first(site.proxy->address), second(site.proxy->address);
+  first.Send(Book());
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  EXPECT_EQ(second.Ask(Book()).result_int(), 409u);
+  EXPECT_TRUE(second.Ended());
+  release.Do([](bool& go) { go = true; });
+  EXPECT_EQ(first.Read().result_int(), 200u);
+  EXPECT_EQ(backend.seen.Get().requests.size(), 1u);
+  EXPECT_EQ(first.Ask(Book()).result_int(), 200u);  // it is over
+}
+
+TEST(Proxy, RequestsRightBehindOneAnotherAreServedInOrder) {
+  Backend backend([](Tcp::socket& s, const HttpRequest& r) {
+    SendRaw(s, OkAnswer(std::string(r["Req-Id"])));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(WithId(Book(), "b1") + WithId(Look(), "b2") + WithId(Book(), "b3"));
+  for (const char* id : {"b1", "b2", "b3"}) EXPECT_EQ(client.Read().body(), id);
+}
+
+TEST(Proxy, ASlowRequestHasOneDeadlineAndEndsWithA408) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.whole_request = std::chrono::milliseconds(100);
+  site.Start();
+  Client silent(site.proxy->address);
+  EXPECT_TRUE(silent.Ended());
+  // Bytes go on coming, each soon after the last, until the proxy has had enough.
+  Client slow(site.proxy->address);
+  slow.Send("GET /look HTTP/1.1\r\nX: ");
+  error_code failed;
+  slow.socket.non_blocking(true);
+  char byte;
+  do {
+    asio::write(slow.socket, asio::buffer("x", 1), failed);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));  // or it would be a header too large
+    if (!failed) slow.socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, failed);
+  } while (failed == asio::error::would_block);
+  slow.socket.non_blocking(false);
+  EXPECT_EQ(slow.Read().result_int(), 408u);
+  // A next request has its own deadline, from its first byte.
+  Client kept(site.proxy->address);
+  EXPECT_EQ(kept.Ask(Look()).result_int(), 200u);
+  kept.Send("GET /look HTTP/1.1\r\n");
+  EXPECT_EQ(kept.Read().result_int(), 408u);
+}
+
+TEST(Proxy, SilentConnectionsMakeRoomAndDoNotShutOthersOut) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;
+  site.patience.whole_request = std::chrono::hours(1);
+  site.patience.silent = std::chrono::milliseconds(10);
+  site.Start();
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int i = 0; i < 80; ++i) silent.push_back(std::make_unique<Client>(site.proxy->address));
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
+  EXPECT_TRUE(silent.front()->Ended());
+}
+
 // ---- bad input ----------------------------------------------------------------------------------------
 TEST(Proxy, BadRequestsGetAPlain4xxAndTheProxyLivesOn) {
   Backend backend;
@@ -525,6 +834,7 @@
   Backend backend;
   Site site(Members(MemberJson("s-1", backend.address())));
   site.config["limits"]["sockets"] = 64;
+  site.patience.spare = std::chrono::milliseconds(10);
   site.Start();
   std::vector<std::unique_ptr<Client>> clients;
   for (int i = 0; i < 60; ++i) {
