Let connections to backends rest 2 ms, not 30

Ruled out by a probe (sessions by state, twice a second): that clients lacked connections because idle ones kept their places.

--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -34,7 +34,7 @@
   Ms answer_taken{10000};  // for a client to take its answer
   Ms drained{1000};        // for a client to close after its last answer
   Ms answer_whole{500};    // from an answer's first byte to its last
-  Ms rest{30};             // before a connection to a backend is used again
+  Ms rest{2};             // before a connection to a backend is used again
   Ms forgotten{900000};    // after which nothing is known of a backend that has gone
 };
 
