Client places follow need: answers end connections while places run short

Rest frees a place after 2 s only, so about 150 new clients a second were let in and the others waited in the kernel's queue.

Change: from 70 % of the clients' own share of descriptors on, each answer says Connection: close and the connection ends with it, at once where nothing is unread.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -299,7 +299,7 @@
   // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
   // fault.
   if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
-  if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
+  if (open_ > limits_.connections() && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
   ++opened_;
   connection->Open(backend.address, limits_.connect_timeout);
 }
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -32,7 +32,7 @@
   struct Limits {
     Duration connect_timeout{250};
     Duration conn_idle{15000};
-    std::size_t connections = 300;  // over all backends
+    std::function<std::size_t()> connections = [] { return std::size_t{300}; };  // over all backends, now
     Patience patience{};
   };
 
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -28,7 +28,8 @@
 constexpr double kBodyShare = 0.25;  // of the memory, for clients' bodies
 constexpr std::size_t kCopies = 2;   // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
-constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
+constexpr double kRoomy = 0.4;  // of the own share, up to which those that stand idle are kept
+constexpr double kShort = 0.7;  // of the own share, from which on each answer ends its connection
 constexpr const char* kText = "text/plain";
 
 }  // namespace
@@ -203,7 +204,7 @@
   }
 
   void OnRead(Steady::time_point at) {
-    asked_ = true;
+    asked_ = read_whole_ = true;
     HttpRequest message = parser_->release();
     last_ = !message.keep_alive();
     if (message.method() == http::verb::get && message.target() == "/ready") {
@@ -248,19 +249,29 @@
   void Write(HttpResponse response) {
     Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
-    last_ |= owner_->stopping_;
+    // A client that keeps its connection and asks no more would hold the place for `spare`, against ever-new
+    // clients that wait in the kernel's queue until their time is up (incident rf19165).
+    const bool whole = std::exchange(read_whole_, false);
+    const bool shed = whole && !last_ && owner_->PlacesRunShort();
+    last_ |= owner_->stopping_ || shed;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
     socket_.cancel(ignored);  // the watch for the client's end
-    http::async_write(socket_, response_, [self = shared_from_this()](const Error& failed, std::size_t) {
-      if (self->state_ != State::kWriting) return;
-      self->response_ = {};
-      if (failed) return self->Close();
-      if (self->last_) return self->CloseGently();
-      self->Wait(self->patience().kept);
-      if (self->owner_->waiting_for_room_) self->owner_->Accept();
-    });
+    http::async_write(socket_, response_,
+                      [self = shared_from_this(), shed](const Error& failed, std::size_t) {
+                        if (self->state_ != State::kWriting) return;
+                        self->response_ = {};
+                        if (failed || (shed && self->NothingUnread())) return self->Close();
+                        if (self->last_) return self->CloseGently();
+                        self->Wait(self->patience().kept);
+                        if (self->owner_->waiting_for_room_) self->owner_->Accept();
+                      });
+  }
+
+  bool NothingUnread() const {
+    Error error;
+    return buffer_.size() == 0 && socket_.available(error) == 0;
   }
 
   // Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
@@ -291,14 +302,16 @@
   State state_ = State::kWaiting;
   Steady::time_point since_{}, until_{};  // of the state
   bool asked_ = false;                    // has sent a whole request
+  bool read_whole_ = false;               // the request that is answered now
   bool last_ = false;                     // the connection closes after this answer
 };
 
-Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
+Clients::Clients(asio::io_context& io, const Config& config, std::size_t share, Count most_connections,
                  RequestHandler& handler)
     : io_(io),
       config_(config),
-      most_connections_(most_connections),
+      share_(share),
+      most_connections_(std::move(most_connections)),
       most_bytes_(static_cast<std::size_t>(config.memory_mb * kBodyShare * 1024 * 1024)),
       handler_(handler),
       acceptor_(io),
@@ -321,7 +334,7 @@
 void Clients::Accept() {
   waiting_for_room_ = false;
   if (shut_) return;
-  if (sessions_.size() >= most_connections_ && !MakeRoom()) {
+  if (sessions_.size() >= most_connections_() && !MakeRoom()) {
     waiting_for_room_ = true;  // the next connections wait in the kernel's queue
     return;
   }
@@ -346,6 +359,10 @@
   });
 }
 
+bool Clients::PlacesRunShort() const {
+  return waiting_for_room_ || static_cast<double>(sessions_.size()) >= static_cast<double>(share_) * kShort;
+}
+
 // Bodies that are being read, or are held, must not fill the memory: what comes beyond is turned away.
 bool Clients::Reserve(std::size_t bytes) {
   if (reserved_ + bytes > most_bytes_) return false;
@@ -379,7 +396,7 @@
   sweep_.async_wait([this](const Error& cancelled) {
     if (cancelled) return;
     const auto now = Steady::now();
-    const auto mark = static_cast<std::size_t>(static_cast<double>(most_connections_) * kRoomy);
+    const auto mark = static_cast<std::size_t>(static_cast<double>(share_) * kRoomy);
     for (auto it = sessions_.begin(); it != sessions_.end();) {
       const auto session = *it++;
       if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -45,8 +45,12 @@
 
 class Clients {
  public:
-  // Listens at once; throws boost::system::system_error if it cannot.
-  Clients(boost::asio::io_context& io, const Config& config, std::size_t most_connections,
+  using Count = std::function<std::size_t()>;
+
+  // Listens at once; throws boost::system::system_error if it cannot. `share` of the descriptors is its own:
+  // places run short when they are nearly taken. `most_connections` tells how many there may be now, with
+  // what is borrowed.
+  Clients(boost::asio::io_context& io, const Config& config, std::size_t share, Count most_connections,
           RequestHandler& handler);
   ~Clients();
   Clients(const Clients&) = delete;
@@ -66,6 +70,7 @@
   void Accept();
   void AcceptLater();
   bool MakeRoom();
+  bool PlacesRunShort() const;
   bool Reserve(std::size_t bytes);
   void Sweep();
   void Remove(Session* session);
@@ -73,7 +78,9 @@
 
   boost::asio::io_context& io_;
   const Config& config_;
-  std::size_t most_connections_, most_bytes_, reserved_ = 0;
+  std::size_t share_;
+  Count most_connections_;
+  std::size_t most_bytes_, reserved_ = 0;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, grace_, sweep_;
--- /dev/null
+++ b/src/proxy/descriptors.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// How the descriptors of the process are shared out between connections of clients and to backends. It
+// decides from counts alone: no I/O, no clock.
+//
+// Each side has a share of its own. Half of what the other side neither uses nor is likely to need soon (a
+// quarter of its share is kept for it) may be borrowed; what is borrowed counts against the lender, so that
+// the two together never hold more than the sum of the shares. The lender gets it back as connections end:
+// clients are sent away after each answer while their places run short.
+#ifndef BRACKENSPOKE_PROXY_DESCRIPTORS_H_
+#define BRACKENSPOKE_PROXY_DESCRIPTORS_H_
+
+#include <cstddef>
+
+namespace brackenspoke::proxy {
+
+class DescriptorShares {
+ public:
+  // `clients` and `backends`: the shares, in descriptors.
+  constexpr DescriptorShares(std::size_t clients, std::size_t backends)
+      : clients_(clients), backends_(backends) {}
+
+  constexpr std::size_t clients() const { return clients_; }  // its own share
+
+  // The most connections of clients while `open` lead to backends, and the other way round.
+  constexpr std::size_t ForClients(std::size_t open_to_backends) const {
+    return Most(clients_, backends_, open_to_backends);
+  }
+  constexpr std::size_t ForBackends(std::size_t open_of_clients) const {
+    return Most(backends_, clients_, open_of_clients);
+  }
+
+ private:
+  static constexpr std::size_t Most(std::size_t own, std::size_t others, std::size_t used_by_others) {
+    if (used_by_others > others) {
+      const std::size_t lent = used_by_others - others;
+      return lent < own ? own - lent : 0;
+    }
+    const std::size_t spare = others - used_by_others, kept = others / 4;
+    return own + (spare > kept ? (spare - kept) / 2 : 0);
+  }
+
+  std::size_t clients_, backends_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_DESCRIPTORS_H_
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -13,19 +13,14 @@
 // watches of discovery, a connection being accepted), and the clients' part of the rest. Of the clients',
 // those with a request open are a half; the others have to make room when they stand idle.
 constexpr int kOtherDescriptors = 24;
-constexpr double kClientShare = 0.6;
+constexpr double kClientShare = 0.6;  // half of the rest may be borrowed: see descriptors.h
 constexpr TimePoint kUnarmed{Duration(1e300)};
 constexpr Duration kLocalRest{1000};  // for clients turned away for want of descriptors
 constexpr Duration kStopGrace{600};   // connections go on coming for up to 400 ms after SIGTERM
 
-Backends::Limits BackendLimits(const Config& config) {
-  const double rest = config.sockets - kOtherDescriptors;
-  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare)),
-          config.patience};
-}
-
-std::size_t ClientLimit(const Config& config) {
-  return static_cast<std::size_t>((config.sockets - kOtherDescriptors) * kClientShare);
+DescriptorShares SharesOf(const Config& config) {
+  const double all = config.sockets - kOtherDescriptors;
+  return {static_cast<std::size_t>(all * kClientShare), static_cast<std::size_t>(all * (1 - kClientShare))};
 }
 
 Discovery::Options DiscoveryOptions(const Config& config) {
@@ -43,9 +38,12 @@
 Proxy::Proxy(boost::asio::io_context& io, Config config)
     : config_(std::move(config)),
       balancer_(config_.settings, config_.seed),
+      shares_(SharesOf(config_)),
       armed_for_(kUnarmed),
       timer_(io) {
-  backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
+  Backends::Limits limits{config_.connect_timeout, config_.conn_idle, {}, config_.patience};
+  limits.connections = [this] { return shares_.ForBackends(clients_ ? clients_->connections() : 0); };
+  backends_ = std::make_unique<Backends>(io, std::move(limits));
   discovery_ = std::make_unique<Discovery>(
       io, DiscoveryOptions(config_),
       [this](const MemberList& list) { OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta); },
@@ -55,7 +53,8 @@
   OnList(config_.known, ListKind::kCached);
   listed_ = !config_.known.members.empty();
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
-  clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+  clients_ = std::make_unique<Clients>(
+      io, config_, shares_.clients(), [this] { return shares_.ForClients(backends_->connections()); }, *this);
 }
 
 Proxy::~Proxy() = default;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -22,6 +22,7 @@
 #include "clients.h"
 #include "clock.h"
 #include "config.h"
+#include "descriptors.h"
 #include "discovery.h"
 #include "members.h"
 
@@ -92,6 +93,7 @@
   std::deque<Event> events_;
   bool handling_ = false;
   bool listed_ = false;
+  DescriptorShares shares_;
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
   boost::asio::steady_timer timer_;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
+#include <random>
 #include <set>
 
 #include "loopback.h"
@@ -599,7 +601,7 @@
   });
   asio::io_context io(1);
   proxy::Backends::Limits limits;
-  limits.connections = 1;
+  limits.connections = [] { return std::size_t{1}; };
   proxy::Backends backends(io, limits);
   backends.Set(1, backend.address(), 0);
   const auto message = std::make_shared<const HttpRequest>(http::verb::get, "/look", 11);
@@ -796,6 +798,79 @@
   EXPECT_EQ(kept.Read().result_int(), 408u);
 }
 
+// Incident rf19165: ever-new clients, each of which keeps its connection, fill the places faster than rest
+// frees them. Without the end of connections while places run short, the client after the last place waits
+// for ever.
+TEST(Proxy, EverNewClientsThatKeepTheirConnectionsAreAllAnswered) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;  // 24 places of clients, 32 with all that may be borrowed
+  site.patience.spare = site.patience.kept = std::chrono::minutes(10);
+  site.Start();
+  constexpr int kClients = 200;
+  std::vector<std::unique_ptr<Client>> clients;
+  int served = 0;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<Client>(site.proxy->address));
+    clients.back()->Send(WithId(i % 2 == 0 ? Look() : Book(), std::to_string(i)));
+    auto answer = std::async(std::launch::async, [&client = *clients.back()] { return client.Read(); });
+    if (answer.wait_for(kGiveUp) != std::future_status::ready) {
+      clients.back()->socket.shutdown(Tcp::socket::shutdown_both);
+      break;
+    }
+    served += answer.get().result_int() == 200;
+  }
+  EXPECT_EQ(served, kClients);
+  EXPECT_EQ(backend.seen.Get().requests.size(), static_cast<std::size_t>(kClients));
+}
+
+TEST(Proxy, AnswersTellToCloseOnlyWhilePlacesRunShort) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;
+  site.Start();
+  Client first(site.proxy->address);
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(first.Ask(Look()).keep_alive());
+  std::vector<std::unique_ptr<Client>> others;
+  for (int i = 0; i < 40; ++i) {
+    others.push_back(std::make_unique<Client>(site.proxy->address));
+    const HttpResponse answer = others.back()->Ask(WithId(Look(), std::to_string(i)));
+    EXPECT_EQ(answer.result_int(), 200u);
+    if (answer.keep_alive()) continue;
+    EXPECT_TRUE(others.back()->Ended());
+    EXPECT_GT(i, 10);
+    return;
+  }
+  ADD_FAILURE() << "no answer told to close";
+}
+
+TEST(Descriptors, TheTwoSidesNeverHoldMoreThanTheSumAndEachKeepsItsQuarter) {
+  std::mt19937 random(7);
+  for (const auto& [clients, backends] : {std::pair{216, 144}, {24, 16}, {600, 400}, {1, 1}}) {
+    const proxy::DescriptorShares shares(clients, backends);
+    EXPECT_GE(shares.ForClients(0), static_cast<std::size_t>(clients));
+    EXPECT_GE(shares.ForBackends(0), static_cast<std::size_t>(backends));
+    std::size_t c = 0, b = 0;
+    for (int i = 0; i < 100000; ++i) {
+      const bool grow = random() % 10 < 7;
+      if (random() % 2) {
+        if (grow)
+          c += c < shares.ForClients(b);
+        else
+          c -= c > 0;
+      } else {
+        if (grow)
+          b += b < shares.ForBackends(c);
+        else
+          b -= b > 0;
+      }
+      ASSERT_LE(c + b, static_cast<std::size_t>(clients + backends));
+      ASSERT_LE(c, static_cast<std::size_t>(clients + backends / 2));
+      ASSERT_LE(b, static_cast<std::size_t>(backends + clients / 2));
+    }
+  }
+}
+
 TEST(Proxy, SilentConnectionsMakeRoomAndDoNotShutOthersOut) {
   Backend backend;
   Site site(Members(MemberJson("s-1", backend.address())));
