--- /dev/null
+++ b/bench/routing_bench.cpp
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Look-up and load of routes, with 10, 1,000 and 10,000 of them. Counters: what a look-up allocates, and the
+// most heap that a load holds at once. Figures: docs/design/routes.md.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <cstdlib>
+#include <new>
+#include <string>
+#include <vector>
+
+#include "support/routing_site.h"
+
+namespace {
+
+std::size_t allocations = 0, held = 0, most_held = 0;
+
+}  // namespace
+
+// Counted: the figures are about what these give out. Not inlined, or the compiler takes the pair for a mismatch.
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  void* place = std::malloc(size);
+  if (place == nullptr) throw std::bad_alloc();
+  ++allocations;
+  held += malloc_usable_size(place);
+  if (held > most_held) most_held = held;
+  return place;
+}
+[[gnu::noinline]] void operator delete(void* place) noexcept {
+  if (place != nullptr) held -= malloc_usable_size(place);
+  std::free(place);
+}
+[[gnu::noinline]] void operator delete(void* place, std::size_t) noexcept {
+  if (place != nullptr) held -= malloc_usable_size(place);
+  std::free(place);
+}
+
+namespace {
+
+using kestrelline::testing::Ask;
+using kestrelline::testing::Built;
+
+// Customers' paths, half of them for one tenant, a quarter by a header of their own; limits on every one.
+std::string File(int routes) {
+  std::string text =
+      "version = 1\n[budget.repeats]\nshare = \"20%\"\n[defaults]\nretry_budgets = \"repeats\"\nmax_attempts "
+      "= 2\n";
+  for (int i = 0; i < routes; ++i) {
+    const std::string n = std::to_string(i);
+    text += "[[route]]\nname = \"customer-" + n + "\"\n";
+    if (i % 4 == 0) {
+      text += "match = { class = \"convert\", header = { X-Office = \"" + n + "\" } }\n";
+    } else if (i % 2 == 0) {
+      text += "match = { path_prefix = \"/preview/" + n + "\", tenant = \"acme\" }\n";
+    } else {
+      text += "match.path_prefix = \"/certify/" + n + "/copies\"\n";
+    }
+    text += "attempt_timeout = \"400ms\"\nmax_in_flight = " + std::to_string(1 + i % 50) + "\n";
+  }
+  return text;
+}
+
+void BM_Find(benchmark::State& state) {
+  const int routes = static_cast<int>(state.range(0));
+  const Built built(File(routes));
+  if (!built.routes) return state.SkipWithError(built.Said().c_str());
+  std::vector<Ask> asks;
+  for (int i = 0; i < 1024; ++i) {
+    const std::string n = std::to_string(static_cast<int>(i * 7919L % routes));
+    asks.push_back(i % 4 == 0   ? Ask(1, "/convert/doc-81723.pdf", 0, {{"x-office", n}})
+                   : i % 4 == 1 ? Ask(0, "/preview/" + n + "/page/7?size=large", 0, {{"x-office", "none"}})
+                   : i % 4 == 2 ? Ask(2, "/certify/" + n + "/copies/3", 1)
+                                : Ask(2, "/certify/unknown/copies", 1));
+  }
+  const std::size_t before = allocations;
+  std::size_t i = 0;
+  for (auto _ : state) benchmark::DoNotOptimize(built.routes->Find(asks[i++ & 1023]));
+  state.counters["allocations"] = static_cast<double>(allocations - before);
+  state.counters["combinations"] = static_cast<double>(built.routes->combinations());
+}
+BENCHMARK(BM_Find)->Arg(10)->Arg(1000)->Arg(10000);
+
+void BM_Load(benchmark::State& state) {
+  const std::string text = File(static_cast<int>(state.range(0)));
+  const std::size_t before = held;
+  most_held = held;
+  std::size_t kept = 0;
+  for (auto _ : state) {
+    Built built(text);
+    if (!built.routes) return state.SkipWithError(built.Said().c_str());
+    built.spec = {};
+    kept = held - before;
+  }
+  state.counters["file_MB"] = static_cast<double>(text.size()) / 1e6;
+  state.counters["most_MB"] = static_cast<double>(most_held - before) / 1e6;
+  state.counters["kept_MB"] = static_cast<double>(kept) / 1e6;
+}
+BENCHMARK(BM_Load)->Arg(10)->Arg(1000)->Arg(10000)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -60,6 +60,7 @@
   bool warm_keys = false;  // a server that served a key lately serves it again with less work
   bool must_ask_for_list = false;
   int max_attempts = 1;
+  bool parallel_tries = false;  // a request that is safe to repeat may have two attempts out
   Duration max_retry_after{0};  // the longest that refused clients stay away when told; 0: they are not told
   Duration tick{1};
   Duration must_ask_within{0};  // where the list must be asked for
@@ -85,6 +86,36 @@
 // How an attempt ended. Full, connect failed and moot prove that it never ran.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kUnknown };
 
+// ---- what a route allows ----------------------------------------------------------------------------------
+// Repeats that are paid for by first attempts: over any `window`, up to `share` of them and `at_least` more.
+struct RetryBudget {
+  std::uint64_t id = 0;  // budgets of one id are one budget, whichever routes draw on it
+  double share = 0;      // 0 to 1
+  Duration window{10000};
+  int at_least = 0;
+
+  bool operator==(const RetryBudget&) const = default;
+};
+
+// Narrows what the settings and the four rules allow a request; it never widens it. The Balancer holds to the
+// narrower of the two, whatever is in here. Zero, where it means nothing else, is no limit of the route's
+// own.
+struct RouteLimits {
+  std::uint64_t route = 0;      // those in flight are counted together by it
+  Duration patience{0};         // from Submit to the final answer
+  Duration attempt_timeout{0};  // of one attempt
+  Duration pause{0};            // before another attempt; up to a quarter less, by chance
+  Duration second_copy_after{
+      0};  // of classes safe to repeat, where the settings allow it; one copy at a time
+  int max_attempts = 0;
+  int max_in_flight = 0;    // requests that have no answer, or an attempt out; more are refused at once
+  unsigned retry_on = ~0u;  // bits of RetryAfter(outcome): those after which there may be another attempt
+  std::vector<RetryBudget> budgets;  // a repeat is paid for by the first that can; empty: not limited
+
+  bool operator==(const RouteLimits&) const = default;
+  static constexpr unsigned RetryAfter(Outcome outcome) { return 1u << static_cast<unsigned>(outcome); }
+};
+
 // ---- events -------------------------------------------------------------------------------------------
 struct ListUpdate {
   ListKind kind = ListKind::kDelta;
@@ -98,7 +129,8 @@
   std::uint64_t key = 0;  // 0: none
   bool has_hint = false;
   bool client_retry = false;
-  double work_ms = 0;  // hinted work on a standard core
+  double work_ms = 0;                         // hinted work on a standard core
+  std::shared_ptr<const RouteLimits> limits;  // null: none but those of the settings
 };
 struct StreamStarted {
   RequestId request = 0;
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -122,6 +122,7 @@
   settings.must_ask_for_list = mode == "ask";
   if (settings.must_ask_for_list) settings.must_ask_within = pairs.Time("rules.mustAskInMs");
   settings.max_attempts = pairs.Whole("permissions.maxAttempts", 1, 255);
+  settings.parallel_tries = pairs.Word("permissions.parallelTries", "false") == "true";
   if (pairs.Word("permissions.retryAfter", "false") == "true")
     settings.max_retry_after = Duration(pairs.NumberOr("permissions.maxRetryAfterMs", 0));
   settings.tick = Duration(pairs.NumberOr("periodMs", 1));
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -4,7 +4,7 @@
 //
 // The ordinary path is gRFC A50 outlier detection (failure percentage) and, among the servers in service, a
 // pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
-// marked "Exception" with the condition under which it acts; docs/design.md lists them all.
+// marked "Exception" with the condition under which it acts; docs/design/exceptions.md lists them all.
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -47,6 +47,7 @@
 constexpr double kRetryRatio = 0.1;         // repeats a first send earns: bounds a storm to a tenth
 constexpr double kRetryBurst = 20;          // repeats in store
 constexpr double kDeviations = 4;           // time-out: mean + 4 deviations, as RFC 6298
+constexpr double kPauseSpread = 0.25;       // part of a pause that chance may take off: not all in step
 constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
 constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
 constexpr double kChance = 1;               // deviations of the number in flight that are no overload
@@ -366,7 +367,8 @@
 
   // ---- 5. Attempts ------------------------------------------------------------------------------------
   // The one place that decides whether a request may be dispatched (again) or refused.
-  Permission Permitted(const Request& r) const {
+  Permission Permitted(const Request& r) const { return Permitted(r, now_); }
+  Permission Permitted(const Request& r, TimePoint at) const {
     Permission may;
     if (r.finished || r.streaming) return may;
     const ClassSettings& c = settings_.classes[r.cls];
@@ -375,12 +377,13 @@
       if (a.may_have_run && !first_run) first_run = &a;
     }
     const int outstanding = r.outstanding();
-    may.dispatch =
-        now_ < r.due && static_cast<int>(r.attempts.size()) < settings_.max_attempts && outstanding == 0;
+    const bool copy = r.copying && settings_.parallel_tries && c.effect == Effect::kSafe;
+    may.dispatch = at < r.due && static_cast<int>(r.attempts.size()) < MostAttempts(r) &&
+                   outstanding <= static_cast<int>(copy);
     may.refuse = true;
     if (!first_run || c.effect == Effect::kSafe) return may;
     may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
-    if (c.effect == Effect::kUnsafe || now_ - first_run->sent_at > c.window * kWindowMargin)
+    if (c.effect == Effect::kUnsafe || at - first_run->sent_at > c.window * kWindowMargin)
       may.dispatch = false;
     if (may.dispatch) may.group_of = &servers_[first_run->server];
     return may;
@@ -410,7 +413,8 @@
     const Spread& seen = classes_[r.cls].latency;
     if (c.effect == Effect::kUnsafe || seen.samples < 10 || s.own_count == 0 || retry_tokens_ < 1)
       return Duration(0);
-    if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
+    if (static_cast<int>(r.attempts.size()) + 1 >= MostAttempts(r)) return Duration(0);
+    if (r.limits && !(r.limits->retry_on & RouteLimits::RetryAfter(Outcome::kTimeout))) return Duration(0);
     const double scale = WorkScale(r);
     const Duration repeat((seen.mean + seen.deviation) * scale);
     const Duration unlikely((seen.mean + kDeviations * seen.deviation) * scale);
@@ -431,7 +435,7 @@
     } else {
       retry_tokens_ = std::max(0.0, retry_tokens_ - 1);
     }
-    const Duration timeout = TimeoutFor(r, s);
+    const Duration timeout = Narrowed(TimeoutFor(r, s), r);
     if (s.own_count == 0) s.quiet_since = now_;
     ++in_flight_;
     s.own_work += r.work;
@@ -444,6 +448,7 @@
     attempt.sent_at = now_;
     r.attempts.push_back(attempt);
     out_->push_back(Dispatch{r.id, s.entry.server, timeout});
+    if (r.limits) NoteSent(r, first);
   }
 
   void On(const AttemptEnded& e) {
@@ -461,13 +466,30 @@
     room_ = true;
     if (e.settled) r.finished = true;
     if (!r.finished && r.outstanding() == 0 && !r.held)
-      Again(r, a.may_have_run || e.outcome == Outcome::kFull);
+      Again(r, e.outcome, a.may_have_run || e.outcome == Outcome::kFull);
     Forget(found);
   }
 
   // After a failed attempt: another one where permitted, within the budget of repeats if it adds load.
-  void Again(Request& r, bool adds_load) {
+  void Again(Request& r, Outcome after, bool adds_load) {
     if (!Permitted(r).dispatch || (adds_load && retry_tokens_ < 1)) return Finish(r);
+    if (r.limits) {
+      // What cannot be sent any more after the pause is given up now.
+      const Duration pause = r.limits->pause * (1 - kPauseSpread * random_.Unit());
+      const bool in_time = pause.count() <= 0 || Permitted(r, now_ + pause + settings_.tick * 2).dispatch;
+      if (!(r.limits->retry_on & RouteLimits::RetryAfter(after)) || !in_time || !TakeFromBudget(r))
+        return Finish(r);
+      if (pause.count() > 0) {
+        r.paused = true;
+        r.paused_until = now_ + pause;
+        wakeups_.emplace(r.paused_until, r.id);
+        return;
+      }
+    }
+    PlaceAgain(r);
+  }
+
+  void PlaceAgain(Request& r) {
     r.refuse_at = std::max(r.refuse_at, std::min(r.due - settings_.tick * 2, now_ + settings_.tick * 4));
     Place(r);
   }
@@ -523,7 +545,67 @@
 
   void Forget(std::unordered_map<RequestId, Request>::iterator it) {
     if (it->second.finished) Unhold(it->second);
-    if (it->second.finished && it->second.outstanding() == 0) requests_.erase(it);
+    if (!it->second.finished || it->second.outstanding() != 0) return;
+    if (it->second.limits) LeaveRoute(*it->second.limits);
+    requests_.erase(it);
+  }
+
+  // ---- 5b. Routes -------------------------------------------------------------------------------------
+  // What the operator's file allows a request comes with it and only ever narrows what is decided elsewhere.
+  int MostAttempts(const Request& r) const {
+    const int most = r.limits ? r.limits->max_attempts : 0;
+    return most > 0 ? std::min(most, settings_.max_attempts) : settings_.max_attempts;
+  }
+
+  // The shortest of the attempt's own time-out (0: none) and what the route gives it.
+  Duration Narrowed(Duration timeout, const Request& r) const {
+    if (!r.limits) return timeout;
+    const auto narrow = [&](Duration at_most) {
+      if (at_most.count() > 0 && (timeout.count() <= 0 || at_most < timeout)) timeout = at_most;
+    };
+    narrow(r.limits->attempt_timeout);
+    if (r.limits->patience.count() > 0) narrow(r.due - now_);
+    return timeout;
+  }
+
+  void NoteSent(Request& r, bool first) {
+    for (const RetryBudget& b : r.limits->budgets) {
+      if (first) budgets_[b.id].First(now_, b.window);
+    }
+    const Duration after = r.limits->second_copy_after;
+    if (after.count() <= 0 || !settings_.parallel_tries || settings_.classes[r.cls].effect != Effect::kSafe)
+      return;
+    r.copy_at = now_ + after;
+    wakeups_.emplace(r.copy_at, r.id);
+  }
+
+  bool TakeFromBudget(const Request& r) {
+    const auto& budgets = r.limits->budgets;
+    return budgets.empty() || std::any_of(budgets.begin(), budgets.end(), [this](const RetryBudget& b) {
+             return budgets_[b.id].Take(now_, b);
+           });
+  }
+
+  // Exception, where the settings and the route allow it: a second copy of a request that is safe to repeat,
+  // at a server that has not seen it, when the first attempt has taken the route's time. Its answer is
+  // whichever comes first; the other attempt runs on and counts as work in flight.
+  void SendCopy(Request& r) {
+    if (r.finished || r.outstanding() != 1 || retry_tokens_ < 1) return;
+    r.copying = true;
+    const Permission may = Permitted(r);
+    Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
+    if (s && !Tried(r, *s) && TakeFromBudget(r)) Send(r, *s);
+    r.copying = false;
+  }
+
+  bool RouteIsFull(const RouteLimits& limits) const {
+    const auto found = open_by_route_.find(limits.route);
+    return limits.max_in_flight > 0 && found != open_by_route_.end() && found->second >= limits.max_in_flight;
+  }
+
+  void LeaveRoute(const RouteLimits& limits) {
+    const auto found = open_by_route_.find(limits.route);
+    if (found != open_by_route_.end() && --found->second == 0) open_by_route_.erase(found);
   }
 
   // ---- 6. Admission -----------------------------------------------------------------------------------
@@ -630,7 +712,10 @@
     const Duration alone(at_ease || stretch_votes_ < kLeastVotes ? 0 : r.work * stretch_);
     if (alone > aim) r.value *= now_ + alone > r.due ? 0 : c.late_worth;
     if (alone > c.aim) stretch_ *= 1 - 5 * kStretchGain;
-    if (r.value <= 0 || Throttled(r)) return Finish(r, StayAway(r));
+    r.limits = e.limits;
+    if (r.limits && r.limits->patience.count() > 0) r.due = std::min(r.due, now_ + r.limits->patience);
+    if (r.value <= 0 || (r.limits && RouteIsFull(*r.limits)) || Throttled(r)) return Finish(r, StayAway(r));
+    if (r.limits) ++open_by_route_[r.limits->route];
     const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
     r.refuse_at = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
     Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
@@ -797,6 +882,7 @@
       interval_end_ = now_ + fleet_.interval;
       fleet_.qualifying = fleet_.failures = fleet_.attempts = 0;
       for (Server& s : servers_) OutlierDetector::EndInterval(s.health);
+      std::erase_if(budgets_, [this](auto& b) { return b.second.Empty(now_); });
     }
     if (now_ >= sample_at_) Sample();
     if (now_ >= ask_at_) {
@@ -809,6 +895,11 @@
       if (found == requests_.end()) continue;
       Request& r = found->second;
       if (r.held && now_ >= r.refuse_at) Finish(r, StayAway(r));
+      if (r.paused && now_ >= r.paused_until) {
+        r.paused = false;
+        if (!r.finished) PlaceAgain(r);
+      }
+      if (r.copy_at != TimePoint{} && now_ >= r.copy_at) r.copy_at = TimePoint{}, SendCopy(r);
       Forget(found);
     }
   }
@@ -892,6 +983,8 @@
   std::unordered_map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
+  std::unordered_map<std::uint64_t, int> open_by_route_;
+  std::unordered_map<std::uint64_t, RepeatWindow> budgets_;  // by id; without traffic for a window, forgotten
   std::vector<ClassState> classes_;
   Spread request_work_, mean_aim_;
   double of_aim_ = 0;    // share of their aims that answers take
--- a/src/measures.h
+++ b/src/measures.h
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <random>
 #include <unordered_map>
 #include <utility>
@@ -65,6 +66,45 @@
   std::vector<std::pair<TimePoint, double>> sent_;
 };
 
+// First attempts and repeats of one retry budget over its window, in eighths of it.
+class RepeatWindow {
+ public:
+  void First(TimePoint now, Duration window) { Roll(now, window), ++first_[slot_ % kSlots], ++firsts_; }
+  // Counts one more repeat if the budget allows it.
+  bool Take(TimePoint now, const RetryBudget& budget) {
+    Roll(now, budget.window);
+    if (!(repeats_ + 1 <= budget.at_least + budget.share * static_cast<double>(firsts_))) return false;
+    ++repeat_[slot_ % kSlots], ++repeats_;
+    return true;
+  }
+  // Nothing was counted for a window.
+  bool Empty(TimePoint now) const { return window_.count() <= 0 || SlotOf(now, window_) - slot_ > kSlots; }
+
+ private:
+  static constexpr std::int64_t kSlots = 8;
+
+  static std::int64_t SlotOf(TimePoint now, Duration window) {
+    const Duration length = std::max(window, Duration(1)) / static_cast<double>(kSlots);
+    return static_cast<std::int64_t>(now.time_since_epoch() / length);
+  }
+  void Roll(TimePoint now, Duration window) {
+    const std::int64_t slot = SlotOf(now, window);
+    // Of another length since a reload: what was counted by the old slots is not carried over, nor is a
+    // burst.
+    if (window != window_) *this = RepeatWindow(), window_ = window, slot_ = slot;
+    for (; slot_ < slot; ++slot_) {
+      if (slot - slot_ > kSlots) slot_ = slot - kSlots;
+      const auto oldest = static_cast<std::size_t>((slot_ + 1) % kSlots);
+      firsts_ -= std::exchange(first_[oldest], 0);
+      repeats_ -= std::exchange(repeat_[oldest], 0);
+    }
+  }
+
+  Duration window_{0};
+  std::int64_t slot_ = 0, firsts_ = 0, repeats_ = 0;
+  std::int64_t first_[kSlots] = {}, repeat_[kSlots] = {};
+};
+
 // Where keys were sent lately: a server that met a key serves it again with less work.
 class KeyMemory {
  public:
@@ -115,7 +155,9 @@
   std::uint64_t key = 0;
   TimePoint arrived{}, due{}, refuse_at{};
   std::vector<Attempt> attempts;
-  bool finished = false, streaming = false, held = false;
+  std::shared_ptr<const RouteLimits> limits;  // null: none of a route
+  TimePoint paused_until{}, copy_at{};        // of another attempt; of a second copy
+  bool finished = false, streaming = false, held = false, paused = false, copying = false;
   int outstanding() const {
     return static_cast<int>(
         std::count_if(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.outstanding; }));
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -33,10 +33,31 @@
   return options;
 }
 
+// A header that is given twice has no one value.
+class RoutedRequest : public kestrelline::routing::RequestView {
+ public:
+  explicit RoutedRequest(const ClientRequest& request) : request_(request) {}
+  int request_class() const override { return request_.request_class; }
+  int tenant() const override { return request_.tenant; }
+  std::string_view target() const override { return View(request_.message.target()); }
+  std::string_view Header(std::string_view name) const override {
+    const auto [first, last] = request_.message.equal_range({name.data(), name.size()});
+    return first != last && std::next(first) == last ? View(first->value()) : std::string_view();
+  }
+
+ private:
+  // An empty value is one too: its data is never null.
+  static std::string_view View(boost::beast::string_view text) {
+    return text.empty() ? std::string_view("") : std::string_view(text.data(), text.size());
+  }
+  const ClientRequest& request_;
+};
+
 }  // namespace
 
-Proxy::Proxy(boost::asio::io_context& io, Config config)
+Proxy::Proxy(boost::asio::io_context& io, Config config, Routes routes)
     : config_(std::move(config)),
+      routes_(std::move(routes)),
       balancer_(config_.settings, config_.seed),
       shares_(SharesOf(config_)),
       armed_for_(kUnarmed),
@@ -173,6 +194,7 @@
   submit.has_hint = request.has_hint;
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
+  if (routes_) submit.limits = *routes_->Find(RoutedRequest(request)).limits;
   Pending& pending = pending_[id];
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
@@ -193,7 +215,7 @@
   const auto now = Steady::now();
   // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
   const int attempt = found == pending_.end() ? 0 : found->second.attempts++;
-  if (found == pending_.end() || !found->second.responder || found->second.attempt_out ||
+  if (found == pending_.end() || !found->second.responder || found->second.attempts_out >= MostOut() ||
       now >= found->second.due || attempt >= config_.settings.max_attempts) {
     AttemptEnded end;
     end.request = action.request;
@@ -204,7 +226,7 @@
     return Feed(end);
   }
   Pending& pending = found->second;
-  pending.attempt_out = true;
+  ++pending.attempts_out;
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   backends_->Send(action.server, pending.message, timeout,
@@ -222,12 +244,13 @@
   end.outcome = result.outcome;
   end.took = Steady::now() - sent;
   const auto found = pending_.find(request);
-  if (found != pending_.end()) found->second.attempt_out = false;
+  if (found != pending_.end()) --found->second.attempts_out;
+  const bool other_out = found != pending_.end() && found->second.attempts_out > 0;
   if (result.outcome == Outcome::kOk) {
     if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
   } else if (result.outcome == Outcome::kUnknown) {
     if (const auto responder = Conclude(request)) responder->Rejected(result.response.result());
-  } else if (result.local) {
+  } else if (result.local && !other_out) {
     // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
     if (const auto responder = Conclude(request)) {
       if (attempt == 0) {
@@ -250,7 +273,7 @@
 
 void Proxy::ForgetIfOver(RequestId request) {
   const auto found = pending_.find(request);
-  if (found == pending_.end() || found->second.responder || found->second.attempt_out) return;
+  if (found == pending_.end() || found->second.responder || found->second.attempts_out > 0) return;
   open_ids_.erase(std::string((*found->second.message)["Req-Id"]));
   pending_.erase(found);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -25,19 +25,28 @@
 #include "descriptors.h"
 #include "discovery.h"
 #include "members.h"
+#include "routing/table.h"
 
 namespace brackenspoke::proxy {
 
 class Proxy : public RequestHandler {
  public:
+  using Routes = std::shared_ptr<const kestrelline::routing::RouteTable>;
+
   // Listens, and watches discovery, from here on.
-  Proxy(boost::asio::io_context& io, Config config);
+  Proxy(boost::asio::io_context& io, Config config, Routes routes = nullptr);
   ~Proxy() override;
 
   // Takes over where discovery is from a configuration read anew; the rest of it holds from the next start
   // on.
   void Reload(const Config& config);
 
+  // From the next request on; those that are held end under the routes that they came by. Null: none.
+  void SetRoutes(Routes routes) { routes_ = std::move(routes); }
+
+  // As it was read at the start: what is in force but for the address of discovery.
+  const Config& config() const { return config_; }
+
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
   void Stop(std::function<void()> done);
 
@@ -59,7 +68,7 @@
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
-    bool attempt_out = false;
+    int attempts_out = 0;  // two where a second copy is out
   };
 
   void Feed(Event event);
@@ -67,6 +76,7 @@
   void OnList(const MemberList& list, ListKind kind);
   void ForgetLongGone();
   int ZoneOf(const std::string& name) const;
+  int MostOut() const { return config_.settings.parallel_tries ? 2 : 1; }  // attempts of one request
 
   void Do(const Dispatch& action);
   void Do(const Refuse& action);
@@ -83,6 +93,7 @@
   void ArmTimer();
 
   Config config_;
+  Routes routes_;
   ModuleClock clock_;
   Balancer balancer_;
   ServerNumbers numbers_;
--- /dev/null
+++ b/src/routing/section.cpp
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "routing/section.h"
+
+#include <algorithm>
+#include <array>
+
+namespace kestrelline::routing {
+namespace {
+
+using operator_file::Diagnostics;
+using operator_file::Key;
+using operator_file::Kind;
+using operator_file::Section;
+using operator_file::TableReader;
+
+constexpr std::int64_t kMostInFlight = 100000;
+constexpr std::int64_t kMostAtLeast = 1000;
+constexpr Duration kShortestWindow{100};
+
+constexpr std::array kLimitKeys{
+    Key{"attempt_timeout", Kind::kDuration, "How long one attempt may take."},
+    Key{"patience", Kind::kDuration, "How long the request may take in all; its clients' own time at most."},
+    Key{"max_attempts", Kind::kWhole, "The most attempts, the first counted; the platform's number at most."},
+    Key{"pause", Kind::kPause, "The pause before another attempt; chance takes off up to a quarter."},
+    Key{"second_copy_after", Kind::kDuration,
+        "After this long without an answer, a second copy goes to another server; for classes that are safe "
+        "to "
+        "repeat, where the platform allows it."},
+    Key{"retry_on", Kind::kTexts,
+        "After what there may be another attempt: refused, connect, error, reset, timeout; [] for none."},
+    Key{"retry_budgets", Kind::kTexts, "The budgets that pay for repeats; the first that can pays."},
+    Key{"max_in_flight", Kind::kWhole, "The most requests at once at this proxy; more are refused at once."},
+};
+constexpr std::array kRouteOnlyKeys{
+    Key{"name", Kind::kText, "The name of the route: each once; counts and budgets go by it.", true},
+    Key{"match", Kind::kTable, "What a request must be for the route to hold; without it, any."},
+};
+constexpr auto kRouteKeys = [] {
+  std::array<Key, kLimitKeys.size() + kRouteOnlyKeys.size()> all{};
+  std::copy(kRouteOnlyKeys.begin(), kRouteOnlyKeys.end(), all.begin());
+  std::copy(kLimitKeys.begin(), kLimitKeys.end(), all.begin() + kRouteOnlyKeys.size());
+  return all;
+}();
+constexpr std::array kMatchKeys{
+    Key{"class", Kind::kTexts, "Its class is one of these."},
+    Key{"tenant", Kind::kTexts, "Its tenant is one of these."},
+    Key{"method", Kind::kTexts, "Its method is one of these: GET, POST."},
+    Key{"path_prefix", Kind::kText, "Its path begins with these whole segments."},
+    Key{"header", Kind::kTable, "Each of these headers is there once and has just this value."},
+    Key{"zone", Kind::kTexts, "The proxy stands in one of these zones."},
+};
+constexpr std::array kBudgetKeys{
+    Key{"share", Kind::kShare, "Repeats for first attempts, over the window.", true},
+    Key{"window", Kind::kDuration, "The window; 10s without it."},
+    Key{"at_least", Kind::kWhole, "Repeats over the window that need no first attempts; 0 without it."},
+};
+constexpr std::array kTables{
+    DescribedTable{"defaults", kLimitKeys},     DescribedTable{"class.NAME", kLimitKeys},
+    DescribedTable{"budget.NAME", kBudgetKeys}, DescribedTable{"route", kRouteKeys},
+    DescribedTable{"route.match", kMatchKeys},
+};
+
+// ---- from the file to the Spec ------------------------------------------------------------------------
+LimitsSpec ReadLimits(const TableReader& table) {
+  LimitsSpec limits;
+  limits.attempt_timeout = table.Duration("attempt_timeout");
+  limits.patience = table.Duration("patience");
+  limits.pause = table.Duration("pause");
+  limits.second_copy_after = table.Duration("second_copy_after");
+  limits.max_attempts = table.Whole("max_attempts", 1, 255);
+  limits.max_in_flight = table.Whole("max_in_flight", 1, kMostInFlight);
+  limits.retry_on = table.Texts("retry_on");
+  limits.retry_budgets = table.Texts("retry_budgets");
+  return limits;
+}
+
+MatchSpec ReadMatch(const toml::table& table, Diagnostics* diagnostics) {
+  const TableReader reader(table, "match", kMatchKeys, diagnostics);
+  MatchSpec match;
+  match.classes = reader.Texts("class");
+  match.tenants = reader.Texts("tenant");
+  match.methods = reader.Texts("method");
+  match.zones = reader.Texts("zone");
+  match.path_prefix = reader.Text("path_prefix");
+  reader.Pairs("header", [&](const At<std::string>& name, const At<std::string>& value) {
+    match.headers.emplace_back(name, value);
+  });
+  return match;
+}
+
+void ReadRoute(const toml::table& table, Position at, Spec* spec, Diagnostics* diagnostics) {
+  const TableReader reader(table, "route", kRouteKeys, diagnostics);
+  RouteSpec route;
+  if (auto name = reader.Text("name")) route.name = std::move(*name);
+  route.name.at = at;
+  if (const toml::table* match = reader.Table("match")) route.match = ReadMatch(*match, diagnostics);
+  route.limits = ReadLimits(reader);
+  spec->routes.push_back(std::move(route));
+}
+
+void ReadBudget(const At<std::string>& name, const toml::table& table, Spec* spec, Diagnostics* diagnostics) {
+  const TableReader reader(table, "budget." + name.value, kBudgetKeys, diagnostics);
+  BudgetSpec budget;
+  budget.name = name;
+  if (const auto share = reader.Share("share")) budget.share = share->value;
+  if (const auto window = reader.Duration("window")) {
+    budget.window = window->value;
+    if (window->value < kShortestWindow)
+      diagnostics->Add(window->at, "range",
+                       "a window of " + operator_file::Shown(window->value) + "; " +
+                           operator_file::Shown(kShortestWindow) + " or more is accepted");
+  }
+  if (const auto least = reader.Whole("at_least", 0, kMostAtLeast)) budget.at_least = least->value;
+  spec->budgets.push_back(std::move(budget));
+}
+
+}  // namespace
+
+std::span<const DescribedTable> DescribedTables() { return kTables; }
+
+std::vector<Section> Sections(Spec* spec) {
+  return {
+      {{"defaults", Kind::kTable, "Limits of all routes and classes that set none of their own."},
+       [spec](const TableReader& top, Diagnostics* diagnostics) {
+         if (const toml::table* table = top.Table("defaults"))
+           spec->defaults = ReadLimits(TableReader(*table, "defaults", kLimitKeys, diagnostics));
+       }},
+      {{"class", Kind::kTable, "Limits of a class: [class.NAME]."},
+       [spec](const TableReader& top, Diagnostics* diagnostics) {
+         top.Named("class", [&](const At<std::string>& name, const toml::table& table) {
+           const TableReader reader(table, "class." + name.value, kLimitKeys, diagnostics);
+           spec->classes.push_back({name, ReadLimits(reader)});
+         });
+       }},
+      {{"budget", Kind::kTable, "A retry budget: [budget.NAME]."},
+       [spec](const TableReader& top, Diagnostics* diagnostics) {
+         top.Named("budget", [&](const At<std::string>& name, const toml::table& table) {
+           ReadBudget(name, table, spec, diagnostics);
+         });
+       }},
+      {{"route", Kind::kTables, "Routes, the first that matches holds: [[route]]."},
+       [spec](const TableReader& top, Diagnostics* diagnostics) {
+         top.Tables("route",
+                    [&](const toml::table& table, Position at) { ReadRoute(table, at, spec, diagnostics); });
+       }},
+  };
+}
+
+}  // namespace kestrelline::routing
--- /dev/null
+++ b/src/routing/spec.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Routes as an operator's file words them: names, each with its place in the file, nothing resolved yet.
+#ifndef KESTRELLINE_ROUTING_SPEC_H_
+#define KESTRELLINE_ROUTING_SPEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+#include "operator/diagnostics.h"
+
+namespace kestrelline::routing {
+
+using brackenspoke::Duration;
+using operator_file::At;
+using operator_file::Position;
+using Names = std::vector<At<std::string>>;
+
+template <typename T>
+using Maybe = std::optional<At<T>>;
+
+// What is absent is inherited: a route's from its class, a class's from the defaults, these from the
+// platform.
+struct LimitsSpec {
+  Maybe<Duration> attempt_timeout, patience, pause, second_copy_after;
+  Maybe<std::int64_t> max_attempts, max_in_flight;
+  Maybe<Names> retry_on, retry_budgets;
+};
+
+// All that is given must hold; what is absent matches everything.
+struct MatchSpec {
+  Maybe<Names> classes, tenants, methods, zones;
+  Maybe<std::string> path_prefix;
+  std::vector<std::pair<At<std::string>, At<std::string>>> headers;  // name, value
+};
+
+struct RouteSpec {
+  At<std::string> name;  // at: the route
+  MatchSpec match;
+  LimitsSpec limits;
+};
+
+struct ClassSpec {
+  At<std::string> name;
+  LimitsSpec limits;
+};
+
+struct BudgetSpec {
+  At<std::string> name;
+  double share = 0;
+  Duration window{10000};
+  std::int64_t at_least = 0;
+};
+
+struct Spec {
+  LimitsSpec defaults;
+  std::vector<ClassSpec> classes;
+  std::vector<BudgetSpec> budgets;
+  std::vector<RouteSpec> routes;  // the first that matches holds
+};
+
+// What the platform says of this installation.
+struct Site {
+  brackenspoke::Settings settings;
+  std::vector<std::string> classes, tenants, zones;  // names, by index
+};
+
+}  // namespace kestrelline::routing
+
+#endif  // KESTRELLINE_ROUTING_SPEC_H_
--- /dev/null
+++ b/tests/operator/read_file_test.cpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Files that cannot be read as they stood at one moment, and values as people write them.
+#include "operator/read_file.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <thread>
+
+#include "operator/values.h"
+#include "support/temporary.h"
+
+namespace kestrelline::operator_file {
+namespace {
+
+using testing::TemporaryFolder;
+
+std::string RuleOf(const std::string& path) {
+  Diagnostics diagnostics(path);
+  const auto text = ReadWhole(path, &diagnostics);
+  EXPECT_EQ(text.has_value(), diagnostics.ok());
+  return diagnostics.ok() ? "" : diagnostics.messages().begin()->rule;
+}
+
+TEST(ReadWhole, ReadsARegularFile) {
+  const TemporaryFolder folder;
+  for (const std::size_t size : {std::size_t{0}, std::size_t{1}, std::size_t{4096}, kMostFileBytes}) {
+    folder.Write("f", std::string(size, 'x'));
+    Diagnostics diagnostics("f");
+    const auto text = ReadWhole(folder / "f", &diagnostics);
+    ASSERT_TRUE(text) << size;
+    EXPECT_EQ(text->size(), size);
+  }
+}
+
+TEST(ReadWhole, RefusesWhatIsNoRegularFileWithoutWaiting) {
+  const TemporaryFolder folder;
+  EXPECT_EQ(RuleOf(folder / "absent"), "read");
+  EXPECT_EQ(RuleOf(folder / "."), "read");
+  ASSERT_EQ(mkfifo((folder / "fifo").c_str(), 0600), 0);
+  EXPECT_EQ(RuleOf(folder / "fifo"), "read");  // an open that waits for a writer would hang here
+  EXPECT_EQ(RuleOf("/dev/zero"), "read");
+  std::filesystem::create_symlink(folder / "loop", folder / "loop");
+  EXPECT_EQ(RuleOf(folder / "loop"), "read");
+}
+
+TEST(ReadWhole, RefusesFiftyMegabytesUnread) {
+  const TemporaryFolder folder;
+  folder.Write("big", "");
+  std::filesystem::resize_file(folder / "big", 50'000'000);
+  EXPECT_EQ(RuleOf(folder / "big"), "size");
+}
+
+// A writer in place shows as a whole text or a refusal, never as a mixture.
+TEST(ReadWhole, NeverReturnsAMixtureOfTwoContents) {
+  const TemporaryFolder folder;
+  const std::string old_text(300'000, 'a'), new_text(200'000, 'b');
+  folder.Write("f", old_text);
+  std::atomic<bool> over{false};
+  std::thread writer([&] {
+    for (int i = 0; !over; ++i) {
+      if (i % 2) {
+        folder.Write("next", old_text);
+        std::filesystem::rename(folder / "next", folder / "f");
+      } else {
+        folder.Write("f", new_text);  // truncates, then writes: the wrong way
+      }
+    }
+  });
+  int whole = 0, refused = 0;
+  for (int i = 0; i < 2000; ++i) {
+    Diagnostics diagnostics("f");
+    const auto text = ReadWhole(folder / "f", &diagnostics);
+    if (!text) {
+      ++refused;
+      EXPECT_EQ(diagnostics.messages().begin()->rule, "changing");
+      continue;
+    }
+    ++whole;
+    // A file cut to nothing, or half written, looks whole to any reader; it must be a beginning of one
+    // content.
+    EXPECT_EQ(text->find_first_not_of(text->empty() ? 'a' : text->front()), std::string::npos);
+  }
+  over = true;
+  writer.join();
+  EXPECT_GT(whole, 0);
+}
+
+TEST(Values, Durations) {
+  std::string why;
+  for (const auto& [text, ms] :
+       {std::pair{"250ms", 250.0}, {"1.5s", 1500.0}, {"2m", 120000.0}, {"1h", 3600000.0}, {"0.5ms", 0.5}})
+    EXPECT_EQ(ParseDuration(text, false, &why).value_or(Milliseconds(-1)).count(), ms) << text;
+  for (const char* text : {"",    "ms",     "5",     "-5ms",   "+5ms",
+                           "nan", "nanms",  "infs",  "1e3ms",  "5 ms",
+                           "5MS", "5us",    ".5s",   "5.s",    "1.2.3s",
+                           "0ms", "0x10ms", "3601s", "1e400h", "99999999999999999999999999h"}) {
+    why.clear();
+    EXPECT_FALSE(ParseDuration(text, false, &why)) << text;
+    EXPECT_FALSE(why.empty()) << text;
+  }
+  EXPECT_EQ(ParseDuration("0ms", true, &why).value_or(Milliseconds(-1)).count(), 0);
+}
+
+TEST(Values, Shares) {
+  std::string why;
+  EXPECT_EQ(ParseShare("20%", &why).value_or(-1), 0.2);
+  EXPECT_EQ(ParseShare("0%", &why).value_or(-1), 0.0);
+  EXPECT_EQ(ParseShare("100%", &why).value_or(-1), 1.0);
+  for (const char* text : {"", "%", "20", "-1%", "100.1%", "nan%", "1e1%", "20 %", "20%%"})
+    EXPECT_FALSE(ParseShare(text, &why)) << text;
+}
+
+TEST(Values, ShownAsTheyAreWritten) {
+  for (const char* text : {"250ms", "1.5s", "2m", "1h", "0.5ms", "1.25m", "999ms"}) {
+    std::string why;
+    EXPECT_EQ(Shown(*ParseDuration(text, false, &why)), text);
+  }
+  EXPECT_EQ(Shown(Milliseconds(2000)), "2s");
+  EXPECT_EQ(Shown(Milliseconds(1234)), "1234ms");
+}
+
+TEST(Names, TheNearestIsOfferedAndNothingFar) {
+  EXPECT_EQ(NearestName("patiense", {"pause", "patience"}), "patience");
+  EXPECT_EQ(NearestName("puase", {"pause", "patience"}), "pause");
+  EXPECT_EQ(NearestName("qqqqqqqq", {"pause", "patience"}), "");
+  EXPECT_EQ(NearestName(std::string(1000000, 'x'), {"pause"}), "");
+}
+
+}  // namespace
+}  // namespace kestrelline::operator_file
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -9,29 +9,11 @@
 #include <random>
 #include <set>
 
-#include "loopback.h"
+#include "support/loopback.h"
 
 namespace brackenspoke::testing {
 namespace {
 
-struct Site {
-  // A test that is about a time limit sets it; to all others a slow machine is none.
-  explicit Site(std::vector<nlohmann::json> known)
-      : config(ConfigJson(discovery.address(), std::move(known))) {
-    patience.whole_request = patience.answer_whole = std::chrono::minutes(1);
-  }
-  void Start() {
-    proxy::Config all = ConfigOf(config);
-    all.patience = patience;
-    proxy = std::make_unique<RunningProxy>(std::move(all));
-  }
-
-  FakeDiscovery discovery;
-  nlohmann::json config;
-  proxy::Patience patience;
-  std::unique_ptr<RunningProxy> proxy;
-};
-
 // ---- one final answer ---------------------------------------------------------------------------------
 TEST(Proxy, PassesARequestOnAndItsAnswerBackUnchanged) {
   Backend backend("a body");
--- /dev/null
+++ b/tests/routing/rules_property_test.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Random files that are accepted, times random rounds of events into a Balancer that is given their limits:
+// the four rules hold, and nothing goes wider than its route. Rapidcheck prints the seed of a failure.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "harness.h"
+#include "support/routing_site.h"
+#include "support/rules_world.h"
+
+namespace kestrelline::testing {
+namespace {
+
+// The classes of harness.h under the names of a platform.
+routing::Site WorldSite(bool parallel) {
+  routing::Site site;
+  site.settings = brackenspoke::testing::Usual();
+  site.settings.parallel_tries = parallel;
+  site.settings.tenants.resize(2);
+  site.classes = {"preview", "convert", "certify"};
+  site.tenants = {"acme", "noble"};
+  return site;
+}
+
+std::string Ms(int least, int most) {
+  return "\"" + std::to_string(*rc::gen::inRange(least, most)) + "ms\"\n";
+}
+
+std::string SomeLimits(bool copies) {
+  std::string text;
+  if (*rc::gen::inRange(0, 2)) text += "attempt_timeout = " + Ms(5, 300);
+  if (*rc::gen::inRange(0, 3) == 0) text += "patience = " + Ms(10, 1000);
+  if (*rc::gen::inRange(0, 2)) text += "max_attempts = " + std::to_string(*rc::gen::inRange(1, 5)) + "\n";
+  if (*rc::gen::inRange(0, 3) == 0) text += "pause = " + Ms(0, 120);
+  if (copies && *rc::gen::inRange(0, 4)) text += "second_copy_after = " + Ms(1, 60);
+  if (*rc::gen::inRange(0, 3) == 0)
+    text += "max_in_flight = " + std::to_string(*rc::gen::inRange(1, 8)) + "\n";
+  if (*rc::gen::inRange(0, 3) == 0) text += "retry_on = [\"refused\", \"connect\"]\n";
+  if (*rc::gen::inRange(0, 3) == 0) text += "retry_budgets = [\"some\"]\n";
+  return text;
+}
+
+std::string SomeFile(bool copies) {
+  std::string text = "version = 1\n[budget.some]\nshare = \"" + std::to_string(*rc::gen::inRange(0, 101)) +
+                     "%\"\nwindow = " + Ms(100, 3000) +
+                     "at_least = " + std::to_string(*rc::gen::inRange(0, 3)) + "\n";
+  if (*rc::gen::inRange(0, 3) == 0) text += "[defaults]\n" + SomeLimits(false);
+  for (const char* cls : {"preview", "convert", "certify"}) {
+    if (*rc::gen::inRange(0, 2))
+      text += "[class." + std::string(cls) + "]\n" + SomeLimits(copies && std::string(cls) == "preview");
+  }
+  for (const char* cls : {"certify", "preview", "convert"}) {
+    if (*rc::gen::inRange(0, 2))
+      text += "[[route]]\nname = \"" + std::string(cls) + "-acme\"\nmatch = { class = \"" + cls +
+              "\", tenant = \"acme\" }\n" + SomeLimits(copies && std::string(cls) == "preview");
+  }
+  return text;
+}
+
+TEST(RoutesAndRules, AcceptedFilesNeverBreakARule) {
+  std::size_t attempts = 0, copies = 0, with_limits = 0;
+  const bool kept = rc::check("accepted files keep the rules", [&] {
+    const bool parallel = *rc::gen::inRange(0, 4) > 0;
+    const routing::Site site = WorldSite(parallel);
+    const std::string text = SomeFile(parallel);
+    const Built built(text, site);
+    if (!built.routes) RC_DISCARD("a file that is refused");
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    RC_LOG() << "parallel tries " << parallel << ", seed of the events " << seed << "\n" << text;
+    // A reload halfway: requests of both files are in flight together.
+    const Built other(SomeFile(parallel), site);
+    int given = 0;
+    brackenspoke::testing::World world(site.settings, seed, [&](int request_class, std::mt19937_64& random) {
+      const bool reloaded = ++given > 600 && other.routes;
+      const Ask ask{request_class, "/" + site.classes[static_cast<std::size_t>(request_class)],
+                    static_cast<int>(random() % 2)};
+      auto limits = *(reloaded ? other : built).routes->Find(ask).limits;
+      with_limits += limits != nullptr;
+      return limits;
+    });
+    world.Play();
+    attempts += world.attempts;
+    copies += world.copies;
+    RC_ASSERT(!::testing::Test::HasFailure());
+  });
+  EXPECT_TRUE(kept);
+  // The rounds must exercise what they are about.
+  EXPECT_GT(with_limits, 5000u);
+  EXPECT_GT(attempts, 5000u);
+  EXPECT_GT(copies, 10u);
+}
+
+// Limits that no file could bring: the module narrows by them and is not led astray.
+TEST(RoutesAndRules, LimitsOutOfAllBoundsNeverBreakARule) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SCOPED_TRACE(seed);
+    auto settings = brackenspoke::testing::Usual();
+    settings.parallel_tries = seed % 2;
+    brackenspoke::testing::World world(settings, seed, [](int, std::mt19937_64& random) {
+      auto limits = std::make_shared<brackenspoke::RouteLimits>();
+      limits->route = random() % 3;
+      limits->max_attempts = static_cast<int>(random() % 100) - 20;
+      limits->second_copy_after = brackenspoke::Duration(static_cast<double>(random() % 50));
+      limits->pause = brackenspoke::Duration(static_cast<double>(random() % 3000));
+      limits->attempt_timeout = brackenspoke::Duration(static_cast<double>(random() % 5000));
+      limits->retry_on = static_cast<unsigned>(random());
+      limits->max_in_flight = static_cast<int>(random() % 30);
+      limits->budgets = {{random() % 2, 5.0, brackenspoke::Duration(static_cast<double>(random() % 500)), 3}};
+      return limits;
+    });
+    world.Play();
+  }
+}
+
+}  // namespace
+}  // namespace kestrelline::testing
--- /dev/null
+++ b/tests/routing/table_test.cpp
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Look-ups: the index against a plain reading of the file, and what each kind of match means.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "support/routing_site.h"
+
+namespace kestrelline::testing {
+namespace {
+
+// ---- what a match means -------------------------------------------------------------------------------
+TEST(RouteTable, TheFirstThatMatchesHolds) {
+  const Built built(R"(version = 1
+[[route]]
+name = "narrow"
+match = { path_prefix = "/preview/a", tenant = "acme" }
+[[route]]
+name = "tenant"
+match.tenant = "acme"
+[[route]]
+name = "class"
+match.class = "preview"
+[[route]]
+name = "header"
+match.header = { X-Job = "7" }
+)");
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview/a/b", 0}), "narrow");
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview/b", 0}), "tenant");
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview/a", 1}), "class");
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify", 1, {{"x-job", "7"}}}), "header");
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify", 1, {{"x-job", "8"}}}), "-");
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify", -1}), "-");
+}
+
+TEST(RouteTable, PrefixesAreOfWholeSegments) {
+  const Built built("version = 1\n[[route]]\nname = \"r\"\nmatch.path_prefix = \"/certify/1/\"\n");
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  for (const char* path : {"/certify/1", "/certify/1/", "/certify/1/2", "/certify/1?x=/9", "/certify/1/2?x"})
+    EXPECT_EQ(RouteOf(built, {kCertify, path}), "r") << path;
+  for (const char* path :
+       {"/certify", "/certify/", "/certify/10", "/certify/2/1", "/certify?/1", "/certify//1", "", "x"})
+    EXPECT_EQ(RouteOf(built, {kCertify, path}), "-") << path;
+}
+
+TEST(RouteTable, AllHeadersMustHoldAndAnAbsentOneIsNoEmptyOne) {
+  const Built built("version = 1\n[[route]]\nname = \"r\"\nmatch.header = { A = \"1\", b = \"\" }\n");
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview", -1, {{"a", "1"}, {"b", ""}}}), "r");
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview", -1, {{"a", "1"}}}), "-");
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview", -1, {{"a", "1"}, {"b", "x"}}}), "-");
+}
+
+TEST(RouteTable, RoutesOfOtherZonesDoNotHoldHereAndHideNothing) {
+  const std::string text = R"(version = 1
+[[route]]
+name = "south"
+match = { class = "preview", zone = "south" }
+[[route]]
+name = "any"
+match.class = "preview"
+)";
+  routing::Site site = RoutingSite();
+  EXPECT_EQ(RouteOf(Built(text, site), {kPreview, "/preview"}), "any");
+  site.settings.zone = 1;
+  EXPECT_EQ(RouteOf(Built(text, site), {kPreview, "/preview"}), "south");
+  // Hidden in every zone in which it holds, though not in all zones.
+  const Built hidden(
+      "version = 1\n[[route]]\nname = \"a\"\nmatch.zone = \"south\"\n[[route]]\nname = \"b\"\n"
+      "match = { zone = \"south\", tenant = \"acme\" }\n");
+  ASSERT_FALSE(hidden.diagnostics.ok());
+  EXPECT_EQ(hidden.diagnostics.messages().begin()->rule, "hidden");
+}
+
+TEST(RouteTable, MethodsStandForTheClassesThatComeSo) {
+  const Built built(
+      "version = 1\n[[route]]\nname = \"posts\"\nmatch.method = \"POST\"\n[[route]]\nname = \"gets\"\n");
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify"}), "posts");
+  EXPECT_EQ(RouteOf(built, {kPreview, "/preview"}), "gets");
+}
+
+TEST(RouteTable, LimitsAreInheritedFromTheClassThenTheDefaults) {
+  const Built built(R"(version = 1
+[defaults]
+max_attempts = 2
+max_in_flight = 50
+[class.preview]
+max_attempts = 3
+[[route]]
+name = "r"
+match.class = ["preview", "certify"]
+max_in_flight = 5
+[[route]]
+name = "plain"
+match.class = "convert"
+)");
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  const auto limits = [&](const Ask& ask) { return *built.routes->Find(ask).limits; };
+  EXPECT_EQ(limits({kPreview, "/preview"})->max_attempts, 3);
+  EXPECT_EQ(limits({kCertify, "/certify"})->max_attempts, 2);
+  EXPECT_EQ(limits({kPreview, "/preview"})->max_in_flight, 5);
+  EXPECT_EQ(limits({kConvert, "/convert"})->max_in_flight, 50);
+  EXPECT_EQ(limits({kStamp, "/stamp"})->max_attempts, 2);
+  // Counted together: by the route whatever the class, and by the class where no route matches.
+  EXPECT_EQ(limits({kPreview, "/preview"})->route, limits({kCertify, "/certify"})->route);
+  EXPECT_NE(limits({kStamp, "/stamp"})->route, limits({kConvert, "/convert"})->route);
+}
+
+TEST(RouteTable, NothingSaidIsNoLimits) {
+  const Built built("version = 1\n[[route]]\nname = \"r\"\nmatch.class = \"preview\"\n");
+  EXPECT_EQ(*built.routes->Find(Ask{kPreview, "/preview"}).limits, nullptr);
+  EXPECT_EQ(*built.routes->Find(Ask{kCertify, "/certify"}).limits, nullptr);
+}
+
+TEST(RouteTable, IdsStayTheSameOverAReload) {
+  const std::string route = "[[route]]\nname = \"r\"\nmatch.class = \"preview\"\nmax_in_flight = 3\n";
+  const Built before("version = 1\n" + route);
+  const Built after("version = 1\n[[route]]\nname = \"new\"\nmatch.tenant = \"acme\"\n" + route);
+  EXPECT_EQ((*before.routes->Find(Ask{kPreview, "/preview"}).limits)->route,
+            (*after.routes->Find(Ask{kPreview, "/preview"}).limits)->route);
+}
+
+// ---- the index against a plain reading ----------------------------------------------------------------
+const std::vector<std::string> kClasses{"preview", "convert", "certify", "stamp"};
+const std::vector<std::string> kTenants{"acme", "noble"};
+
+template <typename T>
+bool Has(const routing::Maybe<routing::Names>& names, const T& value) {
+  return !names || std::any_of(names->value.begin(), names->value.end(),
+                               [&](const auto& name) { return name.value == value; });
+}
+
+// As the file reads, route by route; only zone 0 is here.
+std::string Plainly(const routing::Spec& spec, const Ask& ask) {
+  const std::string cls = kClasses[static_cast<std::size_t>(ask.cls)];
+  const std::string tenant = ask.owner < 0 ? "" : kTenants[static_cast<std::size_t>(ask.owner)];
+  const std::string path = ask.path.substr(0, ask.path.find('?'));
+  for (const auto& route : spec.routes) {
+    const auto& m = route.match;
+    if (!Has(m.classes, cls) || !Has(m.tenants, tenant) || !Has(m.zones, "north")) continue;
+    if (!Has(m.methods, cls == "preview" ? "GET" : "POST")) continue;
+    if (m.path_prefix) {
+      const std::string& prefix = m.path_prefix->value;
+      if (path != prefix && !path.starts_with(prefix + "/")) continue;
+    }
+    const bool headers = std::all_of(m.headers.begin(), m.headers.end(), [&](const auto& h) {
+      const auto found = ask.headers.find(h.first.value);
+      return found != ask.headers.end() && found->second == h.second.value;
+    });
+    if (headers) return route.name.value;
+  }
+  return "-";
+}
+
+std::string SomeOf(const std::vector<std::string>& names) {
+  std::string list;
+  for (const auto& name : names) {
+    if (*rc::gen::arbitrary<bool>()) list += (list.empty() ? "\"" : ", \"") + name + "\"";
+  }
+  return list.empty() ? "\"" + names[0] + "\"" : list;
+}
+
+std::string SomePath(const std::string& cls) {
+  std::string path = "/" + cls;
+  for (int depth = *rc::gen::inRange(0, 3); depth > 0; --depth)
+    path += "/" + std::string(1, *rc::gen::element('a', 'b'));
+  return path;
+}
+
+std::string SomeMatch() {
+  std::string match;
+  if (*rc::gen::inRange(0, 2)) match += "match.class = [" + SomeOf(kClasses) + "]\n";
+  if (*rc::gen::inRange(0, 2)) match += "match.tenant = [" + SomeOf(kTenants) + "]\n";
+  if (*rc::gen::inRange(0, 4) == 0) match += "match.zone = [" + SomeOf({"north", "south"}) + "]\n";
+  if (*rc::gen::inRange(0, 4) == 0) match += "match.method = [" + SomeOf({"GET", "POST"}) + "]\n";
+  if (*rc::gen::inRange(0, 2))
+    match += "match.path_prefix = \"" + SomePath(*rc::gen::elementOf(kClasses)) + "\"\n";
+  for (const char* name : {"x", "y"}) {
+    if (*rc::gen::inRange(0, 3) == 0)
+      match += std::string("match.header.") + name + " = \"" + *rc::gen::element('0', '1') + "\"\n";
+  }
+  return match;
+}
+
+RC_GTEST_PROP(RouteTableProperty, FindsWhatAPlainReadingFindsAndHidesOnlyTheUnreachable, ()) {
+  std::vector<std::string> routes;
+  for (int i = *rc::gen::inRange(1, 25); i > 0; --i)
+    routes.push_back("[[route]]\nname = \"r" + std::to_string(i) + "\"\n" + SomeMatch());
+  // Routes that are refused for being hidden, or for never matching, are left out; the rest must be accepted.
+  std::string text = "version = 1\n";
+  std::vector<std::string> hidden;
+  for (const std::string& route : routes) {
+    const Built with(text + route);
+    if (with.diagnostics.ok()) {
+      text += route;
+      continue;
+    }
+    const auto& message = *with.diagnostics.messages().begin();
+    RC_ASSERT(message.rule == "hidden" || message.rule == "never");
+    if (message.rule == "hidden") hidden.push_back(route);
+  }
+  const Built built(text);
+  RC_ASSERT(built.routes != nullptr);
+  for (int i = 0; i < 100; ++i) {
+    Ask ask;
+    ask.cls = *rc::gen::inRange(0, 4);
+    ask.owner = *rc::gen::inRange(-1, 2);
+    ask.path = SomePath(kClasses[static_cast<std::size_t>(ask.cls)]);
+    for (const char* name : {"x", "y"}) {
+      if (*rc::gen::inRange(0, 2)) ask.headers[name] = std::string(1, *rc::gen::element('0', '1'));
+    }
+    const std::string found = RouteOf(built, ask);
+    RC_ASSERT(found == Plainly(built.spec, ask));
+    // What was called hidden takes nothing that is not taken already.
+    for (const std::string& route : hidden) {
+      const Built alone("version = 1\n" + route);
+      RC_ASSERT(alone.diagnostics.ok());
+      if (RouteOf(alone, ask) != "-") RC_ASSERT(found != "-");
+    }
+  }
+}
+
+// ---- bounds -------------------------------------------------------------------------------------------
+TEST(RouteTable, TenThousandRoutesTakeFewLookUps) {
+  std::string text = "version = 1\n";
+  for (int i = 0; i < 10000; ++i)
+    text += "[[route]]\nname = \"r" + std::to_string(i) + "\"\nmatch.path_prefix = \"/certify/" +
+            std::to_string(i) + "\"\n";
+  const Built built(text);
+  ASSERT_NE(built.routes, nullptr) << built.Said();
+  EXPECT_EQ(built.routes->combinations(), 1u);
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify/9999/x"}), "r9999");
+  EXPECT_EQ(RouteOf(built, {kCertify, "/certify/10000"}), "-");
+}
+
+TEST(RouteTable, BoundsOnRoutesHeadersAndCombinations) {
+  std::string many = "version = 1\n", headers = many, shapes = many;
+  for (std::size_t i = 0; i <= routing::kMostRoutes; ++i)
+    many += "[[route]]\nname = \"r" + std::to_string(i) + "\"\n";
+  const Built too_many(many);
+  ASSERT_FALSE(too_many.diagnostics.ok());
+  EXPECT_EQ(too_many.diagnostics.messages().begin()->rule, "bound");
+  for (std::size_t i = 0; i <= routing::kMostHeaderNames; ++i)
+    headers +=
+        "[[route]]\nname = \"r" + std::to_string(i) + "\"\nmatch.header.h" + std::to_string(i) + " = \"x\"\n";
+  const Built too_wide(headers);
+  ASSERT_FALSE(too_wide.diagnostics.ok());
+  EXPECT_EQ(too_wide.diagnostics.messages().begin()->rule, "bound");
+  for (int i = 0; i < 40; ++i) {
+    shapes += "[[route]]\nname = \"r" + std::to_string(i) + "\"\n";
+    for (int bit = 0; bit < 6; ++bit) {
+      if ((i + 1) >> bit & 1)
+        shapes += "match.header.h" + std::to_string(bit) + " = \"" + std::to_string(i) + "\"\n";
+    }
+  }
+  const Built too_odd(shapes);
+  ASSERT_FALSE(too_odd.diagnostics.ok());
+  EXPECT_EQ(too_odd.diagnostics.messages().begin()->rule, "bound");
+}
+
+}  // namespace
+}  // namespace kestrelline::testing
--- /dev/null
+++ b/tests/support/routing_site.h
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A platform for tests of routes: a class of each kind, tenants and zones.
+#ifndef KESTRELLINE_TESTS_SUPPORT_ROUTING_SITE_H_
+#define KESTRELLINE_TESTS_SUPPORT_ROUTING_SITE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "operator/diagnostics.h"
+#include "operator/document.h"
+#include "routing/section.h"
+#include "routing/spec.h"
+#include "routing/table.h"
+
+namespace kestrelline::testing {
+
+enum SiteClass { kPreview, kConvert, kCertify, kStamp };
+
+// preview: safe, 2 s; convert: keyed for 10 s, 2 s; certify: unsafe, 1 s; stamp: keyed for 500 ms, 2 s.
+inline routing::Site RoutingSite() {
+  using brackenspoke::Effect;
+  const auto cls = [](Effect effect, double deadline, double window) {
+    brackenspoke::ClassSettings c;
+    c.effect = effect;
+    c.aim = brackenspoke::Duration(500);
+    c.deadline = brackenspoke::Duration(deadline);
+    c.window = brackenspoke::Duration(window);
+    c.group = brackenspoke::Group::kCell;
+    return c;
+  };
+  routing::Site site;
+  site.settings.classes = {cls(Effect::kSafe, 2000, 0), cls(Effect::kKeyed, 2000, 10000),
+                           cls(Effect::kUnsafe, 1000, 0), cls(Effect::kKeyed, 2000, 500)};
+  site.settings.max_attempts = 4;
+  site.settings.tenants.resize(2);
+  site.classes = {"preview", "convert", "certify", "stamp"};
+  site.tenants = {"acme", "noble"};
+  site.zones = {"north", "south"};
+  return site;
+}
+
+// A file read and built; `routes` is null and `diagnostics` says why if it is refused.
+struct Built {
+  explicit Built(std::string_view text, const routing::Site& site = RoutingSite()) : diagnostics("f.toml") {
+    const auto sections = routing::Sections(&spec);
+    operator_file::ReadDocument(text, sections, &diagnostics);
+    routes = routing::RouteTable::Build(spec, site, &diagnostics);
+    if (!diagnostics.ok()) routes = nullptr;
+  }
+  std::string Said() const {
+    std::string all;
+    for (const auto& line : diagnostics.Lines()) all += line + '\n';
+    return all;
+  }
+
+  routing::Spec spec;
+  operator_file::Diagnostics diagnostics;
+  std::shared_ptr<const routing::RouteTable> routes;
+};
+
+struct Ask : routing::RequestView {
+  int cls = 0, owner = -1;
+  std::string path = "/preview";
+  std::map<std::string, std::string, std::less<>> headers;
+
+  Ask() = default;
+  Ask(int c, std::string p, int t = -1, std::map<std::string, std::string, std::less<>> h = {})
+      : cls(c), owner(t), path(std::move(p)), headers(std::move(h)) {}
+  int request_class() const override { return cls; }
+  int tenant() const override { return owner; }
+  std::string_view target() const override { return path; }
+  std::string_view Header(std::string_view name) const override {
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+  }
+};
+
+// The name of the route that a request takes; "-" for none.
+inline std::string RouteOf(const Built& built, const Ask& ask) {
+  const auto found = built.routes->Find(ask);
+  return found.route == routing::RouteTable::kNone ? "-" : built.routes->routes()[found.route].name;
+}
+
+}  // namespace kestrelline::testing
+
+#endif  // KESTRELLINE_TESTS_SUPPORT_ROUTING_SITE_H_
