--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-// Counted: the figures are about what these give out. Not inlined, or the compiler takes the pair for a mismatch.
+// Counted: the figures are about what these give out. Not inlined, or the compiler takes the pair for a
+// mismatch.
 [[gnu::noinline]] void* operator new(std::size_t size) {
   void* place = std::malloc(size);
   if (place == nullptr) throw std::bad_alloc();
--- a/src/app/operator_config.cpp
+++ b/src/app/operator_config.cpp
@@ -42,7 +42,8 @@
 std::optional<OperatorConfig> LoadOperatorFile(const std::string& path,
                                                const brackenspoke::proxy::Config& platform, Keep keep,
                                                operator_file::Diagnostics* diagnostics) {
-  const auto text = operator_file::ReadWhole(path, diagnostics);
+  const auto text =
+      operator_file::ReadWhole(path, operator_file::MostFileBytes(platform.memory_mb), diagnostics);
   return text ? ParseOperatorFile(*text, platform, keep, diagnostics) : std::nullopt;
 }
 
--- a/src/operator/diagnostics.cpp
+++ b/src/operator/diagnostics.cpp
@@ -3,12 +3,14 @@
 
 #include <algorithm>
 #include <numeric>
+#include <span>
 
 namespace kestrelline::operator_file {
 namespace {
 
 constexpr std::size_t kMostText = 400;  // bytes of one message
 constexpr std::size_t kMostListed = 12;
+constexpr std::size_t kMostCompared = 1000;
 constexpr std::size_t kMostName = 64;  // longer names are nobody's slip of the pen
 
 std::string Clean(std::string_view text) {
@@ -48,6 +50,10 @@
   messages_.insert(std::move(message));
 }
 
+std::string Diagnostics::Nearest(std::string_view name, const std::vector<std::string_view>& known) const {
+  return messages_.size() < kMostKept ? NearestName(name, known) : "";
+}
+
 std::vector<std::string> Diagnostics::Lines() const {
   std::vector<std::string> lines;
   for (const Message& m : messages_) {
@@ -62,7 +68,7 @@
   if (name.size() > kMostName) return "";
   std::string_view nearest;
   std::size_t least = std::max<std::size_t>(2, name.size() / 3) + 1;
-  for (const std::string_view candidate : known) {
+  for (const std::string_view candidate : std::span(known).first(std::min(known.size(), kMostCompared))) {
     if (candidate.size() > kMostName) continue;
     const std::size_t distance = Distance(name, candidate);
     if (distance < least && distance < candidate.size()) least = distance, nearest = candidate;
--- a/src/operator/diagnostics.h
+++ b/src/operator/diagnostics.h
@@ -44,6 +44,10 @@
   void Add(Position at, std::string_view rule, std::string_view text);
 
   bool ok() const { return messages_.empty(); }
+
+  // NearestName, or nothing once no more messages are kept: a file of unknown names must not cost a
+  // comparison of each with all that are known.
+  std::string Nearest(std::string_view name, const std::vector<std::string_view>& known) const;
   const std::set<Message>& messages() const { return messages_; }
   const std::string& file() const { return file_; }
 
@@ -56,7 +60,8 @@
   std::size_t dropped_ = 0;
 };
 
-// The one of `known` that `name` was probably meant to be; empty if none is near.
+// The one of `known`, of which the first thousand are looked at, that `name` was probably meant to be; empty
+// if none is near.
 std::string NearestName(std::string_view name, const std::vector<std::string_view>& known);
 
 // "a, b and c", of at most twelve.
--- a/src/operator/document.cpp
+++ b/src/operator/document.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kMostKeys = 100000;  // of one table; more are refused
+constexpr std::size_t kMostDots = 64;      // of one key
 
 Position PositionOf(const toml::source_region& region) {
   return {static_cast<std::uint32_t>(region.begin.line), static_cast<std::uint32_t>(region.begin.column)};
@@ -51,6 +52,27 @@
              : nullptr;
 }
 
+// Each dot of a key is a table within a table, which the library takes apart by recursion: a key of a million
+// dots would end the process. Names in text that stand so close are refused too; there are none.
+std::optional<Position> TooManyDots(std::string_view text) {
+  Position at{1, 1};
+  std::size_t dots = 0;
+  char before = '\n';
+  for (const char c : text) {
+    const bool of_key = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                        c == '_' || c == '-' || c == '"' || c == '\'' || c == ' ' || c == '\t';
+    if (c == '.') {
+      dots = before == '.' ? 0 : dots + 1;
+      if (dots > kMostDots) return at;
+    } else if (!of_key) {
+      dots = 0;
+    }
+    before = c;
+    at = c == '\n' ? Position{at.line + 1, 1} : Position{at.line, at.column + 1};
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::string TypeName(Kind kind) {
@@ -93,7 +115,7 @@
   for (const Key& key : keys_) names.push_back(key.name);
   for (const auto& [key, node] : table_) {
     if (std::find(names.begin(), names.end(), key.str()) != names.end()) continue;
-    const std::string nearest = NearestName(key.str(), names);
+    const std::string nearest = diagnostics_->Nearest(key.str(), names);
     diagnostics_->Add(
         PositionOf(key.source()), "unknown-key",
         "no key '" + std::string(key.str().substr(0, 60)) + "' in " + name_ + "; " +
@@ -254,6 +276,11 @@
     diagnostics->Add({}, "empty", "holds nothing; `version = 1` is the least that is accepted");
     return false;
   }
+  if (const auto at = TooManyDots(text)) {
+    diagnostics->Add(*at, "bound",
+                     "a key of more than " + std::to_string(kMostDots) + " dots; no key needs more than 3");
+    return false;
+  }
   std::vector<Key> keys{{"version", Kind::kWhole, "The form of this file: 1.", true}};
   for (const Section& section : sections) keys.push_back(section.key);
   toml::table root;
--- a/src/operator/read_file.cpp
+++ b/src/operator/read_file.cpp
@@ -55,7 +55,8 @@
 
 }  // namespace
 
-std::optional<std::string> ReadWhole(const std::string& path, Diagnostics* diagnostics) {
+std::optional<std::string> ReadWhole(const std::string& path, std::size_t most_bytes,
+                                     Diagnostics* diagnostics) {
   const auto refuse = [&](std::string_view rule, const std::string& text) {
     diagnostics->Add({}, rule, text);
     return std::nullopt;
@@ -69,9 +70,9 @@
     if (::fstat(file.get(), &status) != 0)
       return refuse("read", std::string("cannot be read: ") + std::strerror(errno));
     if (!S_ISREG(status.st_mode)) return refuse("read", "is no regular file");
-    if (static_cast<std::uintmax_t>(status.st_size) > kMostFileBytes)
+    if (static_cast<std::uintmax_t>(status.st_size) > most_bytes)
       return refuse("size", "holds " + std::to_string(status.st_size) + " bytes; " +
-                                std::to_string(kMostFileBytes) + " at most");
+                                std::to_string(most_bytes) + " at most with this proxy's memory");
     switch (ReadOnce(file.get(), status, &text)) {
       case Read::kWhole:
         return text;
--- a/src/routing/limits.cpp
+++ b/src/routing/limits.cpp
@@ -53,7 +53,7 @@
     if (WordOf(word.value)) continue;
     std::vector<std::string_view> words;
     for (const RetryWord& w : kRetryWords) words.push_back(w.word);
-    const std::string nearest = operator_file::NearestName(word.value, words);
+    const std::string nearest = diagnostics->Nearest(word.value, words);
     diagnostics->Add(word.at, "retry-on",
                      "'" + word.value + "' is nothing to repeat after; accepted are " +
                          operator_file::Listed(words) +
@@ -106,7 +106,7 @@
     for (const auto& name : limits.retry_budgets->value) {
       const auto found = budgets_.find(name.value);
       if (found == budgets_.end()) {
-        const std::string nearest = operator_file::NearestName(name.value, budget_names);
+        const std::string nearest = diagnostics->Nearest(name.value, budget_names);
         diagnostics->Add(name.at, "unknown-budget",
                          "there is no [budget." + name.value + "]; " +
                              (nearest.empty() ? "there are " + operator_file::Listed(budget_names)
--- a/tests/operator/read_file_test.cpp
+++ b/tests/operator/read_file_test.cpp
@@ -24,7 +24,7 @@
 
 std::string RuleOf(const std::string& path) {
   Diagnostics diagnostics(path);
-  const auto text = ReadWhole(path, &diagnostics);
+  const auto text = ReadWhole(path, kMostFileBytes, &diagnostics);
   EXPECT_EQ(text.has_value(), diagnostics.ok());
   return diagnostics.ok() ? "" : diagnostics.messages().begin()->rule;
 }
@@ -34,7 +34,7 @@
   for (const std::size_t size : {std::size_t{0}, std::size_t{1}, std::size_t{4096}, kMostFileBytes}) {
     folder.Write("f", std::string(size, 'x'));
     Diagnostics diagnostics("f");
-    const auto text = ReadWhole(folder / "f", &diagnostics);
+    const auto text = ReadWhole(folder / "f", kMostFileBytes, &diagnostics);
     ASSERT_TRUE(text) << size;
     EXPECT_EQ(text->size(), size);
   }
@@ -77,7 +77,7 @@
   int whole = 0, refused = 0;
   for (int i = 0; i < 2000; ++i) {
     Diagnostics diagnostics("f");
-    const auto text = ReadWhole(folder / "f", &diagnostics);
+    const auto text = ReadWhole(folder / "f", kMostFileBytes, &diagnostics);
     if (!text) {
       ++refused;
       EXPECT_EQ(diagnostics.messages().begin()->rule, "changing");
--- a/tests/routing/refused_files_test.cpp
+++ b/tests/routing/refused_files_test.cpp
@@ -204,6 +204,31 @@
   EXPECT_EQ(built.diagnostics.Lines().back(), "f.toml: and 4900 more");
 }
 
+// The library would take either apart by recursion, and end the process.
+TEST(RefusedFilesTable, KeysOfAMillionDotsAndArraysOfAMillionLevels) {
+  std::string dots = "version = 1\na", levels = "version = 1\na = ", inline_dots = "version = 1\na = {b";
+  for (int i = 0; i < 1000000; ++i) dots += ".a", levels += "[", inline_dots += " . 'a'";
+  for (const auto& [text, rule] : {std::pair{dots + " = 1\n", "bound"},
+                                   {"version = 1\n[" + dots.substr(12) + "]\n", "bound"},
+                                   {inline_dots + " = 1}\n", "bound"},
+                                   {levels, "syntax"}}) {
+    const Built built(text);
+    ASSERT_EQ(built.diagnostics.messages().size(), 1u);
+    EXPECT_EQ(built.diagnostics.messages().begin()->rule, rule);
+    EXPECT_EQ(built.diagnostics.messages().begin()->at.line, 2u);
+  }
+}
+
+// Without the bound on hints this compares 400 million pairs of names.
+TEST(RefusedFilesTable, AFileOfUnknownTenantsIsRefusedSoonThoughThereAreMany) {
+  routing::Site site = RoutingSite();
+  for (int i = 0; i < 20000; ++i) site.tenants.push_back("notary-of-the-district-" + std::to_string(i));
+  std::string text = "version = 1\n[[route]]\nname = \"r\"\nmatch.tenant = [";
+  for (int i = 0; i < 20000; ++i) text += "\"notary-of-a-district-" + std::to_string(i) + "\",";
+  const Built built(text + "]\n", site);
+  EXPECT_EQ(built.diagnostics.Lines().size(), operator_file::Diagnostics::kMostKept + 1);
+}
+
 TEST(RefusedFilesTable, ControlCharactersOfAFileDoNotReachTheLog) {
   const Built built("version = 1\n\"a\\u001b[2J\\n\" = 1\n");
   ASSERT_EQ(built.diagnostics.Lines().size(), 1u);
