--- /dev/null
+++ b/src/load/results.cpp
@@ -0,0 +1,373 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "load/results.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace kestrelline::load {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kForm = 1;  // of the JSON
+constexpr std::array<std::string_view, kOutcomes> kNames{"served", "refused", "failed", "gave up",
+                                                         "not sent"};
+constexpr std::array kQuantiles{0.5, 0.9, 0.99, 0.999, 0.9999};
+constexpr Microseconds kLate{1000};  // a generator that is later than this at p99 has been outrun
+
+std::string Format(const char* format, double value) {
+  char text[64];
+  std::snprintf(text, sizeof text, format, value);
+  return text;
+}
+
+std::string Ms(Microseconds us) { return Format("%.2f", static_cast<double>(us.count()) / 1000); }
+
+json ToJson(const Latencies& latencies) {
+  json bins = json::array();
+  for (const auto& [bin, n] : latencies.Bins()) bins.push_back({bin, n});
+  return {{"bins", bins},
+          {"least", latencies.least().count()},
+          {"most", latencies.most().count()},
+          {"sum", latencies.sum_us()}};
+}
+
+void FromJson(const json& from, Latencies* latencies) {
+  for (const json& bin : from.at("bins")) {
+    if (!latencies->AddBin(bin.at(0).get<int>(), bin.at(1).get<std::uint64_t>()))
+      throw BadResults("a latency in a bin that does not exist");
+  }
+  if (latencies->count() == 0) return;
+  latencies->SetExact(Microseconds(from.at("least").get<std::int64_t>()),
+                      Microseconds(from.at("most").get<std::int64_t>()), from.at("sum").get<double>());
+}
+
+std::string Row(const std::string& name, const Latencies& latencies) {
+  char text[64];
+  std::snprintf(text, sizeof text, "%-22s %9llu", name.c_str(),
+                static_cast<unsigned long long>(latencies.count()));
+  std::string row = text;
+  for (const double q : kQuantiles) {
+    std::snprintf(text, sizeof text, " %10s", Ms(latencies.Quantile(q)).c_str());
+    row += text;
+  }
+  std::snprintf(text, sizeof text, " %10s\n", Ms(latencies.most()).c_str());
+  return row + text;
+}
+
+std::string Escaped(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    switch (c) {
+      case '<':
+        out += "&lt;";
+        break;
+      case '>':
+        out += "&gt;";
+        break;
+      case '&':
+        out += "&amp;";
+        break;
+      case '"':
+        out += "&quot;";
+        break;
+      default:
+        out += c;
+    }
+  }
+  return out;
+}
+
+// ---- charts -------------------------------------------------------------------------------------------
+constexpr double kWidth = 860, kHeight = 240, kLeft = 70, kBottom = 28, kTop = 12;
+
+struct Line {
+  std::string name, colour;
+  std::vector<double> values;  // one for each place on the x axis
+};
+
+std::string Svg(const std::vector<Line>& lines, double least, double most, bool log_y,
+                const std::vector<std::string>& marks, const std::string& unit) {
+  const auto y = [&](double value) {
+    const double v = std::clamp(value, least, most);
+    const double share =
+        log_y ? std::log(v / least) / std::log(most / least) : (v - least) / std::max(1e-9, most - least);
+    return kTop + (1 - share) * (kHeight - kTop - kBottom);
+  };
+  std::size_t places = 1;
+  for (const Line& line : lines) places = std::max(places, line.values.size());
+  const auto x = [&](std::size_t i) {
+    return kLeft + (kWidth - kLeft - 8) * static_cast<double>(i) /
+                       static_cast<double>(std::max<std::size_t>(1, places - 1));
+  };
+  char text[256];
+  std::snprintf(text, sizeof text, "<svg viewBox='0 0 %g %g' role='img'>", kWidth, kHeight);
+  std::string svg = text;
+  for (int i = 0; i <= 4; ++i) {
+    const double value = log_y ? least * std::pow(most / least, i / 4.0) : least + (most - least) * i / 4;
+    std::snprintf(
+        text, sizeof text,
+        "<line x1='%g' x2='%g' y1='%.1f' y2='%.1f' class='g'/><text x='%g' y='%.1f' class='y'>%.4g %s</text>",
+        kLeft, kWidth - 8, y(value), y(value), kLeft - 6, y(value) + 4, value, unit.c_str());
+    svg += text;
+  }
+  for (std::size_t i = 0; i < marks.size(); ++i) {
+    if (marks[i].empty()) continue;
+    std::snprintf(text, sizeof text, "<text x='%.1f' y='%g' class='x'>%s</text>", x(i), kHeight - 8,
+                  marks[i].c_str());
+    svg += text;
+  }
+  for (const Line& line : lines) {
+    svg += "<polyline fill='none' stroke='" + line.colour + "' points='";
+    for (std::size_t i = 0; i < line.values.size(); ++i) {
+      std::snprintf(text, sizeof text, "%.1f,%.1f ", x(i), y(line.values[i]));
+      svg += text;
+    }
+    svg += "'><title>" + Escaped(line.name) + "</title></polyline>";
+  }
+  svg += "</svg><p>";
+  for (const Line& line : lines)
+    svg += "<span style='color:" + line.colour + "'>&#9644;</span> " + Escaped(line.name) + " &nbsp; ";
+  return svg + "</p>";
+}
+
+double InMs(Microseconds us) { return std::max(0.01, static_cast<double>(us.count()) / 1000); }
+
+std::vector<std::string> SecondMarks(std::size_t n) {
+  std::vector<std::string> marks(n);
+  const std::size_t every = std::max<std::size_t>(1, n / 10);
+  for (std::size_t i = 0; i < n; i += every) marks[i] = std::to_string(i) + " s";
+  return marks;
+}
+
+struct Estimate {
+  double mean = 0, error = 0;
+  std::size_t n = 0;
+};
+Estimate Over(const std::vector<double>& values) {
+  Estimate e;
+  e.n = values.size();
+  if (e.n == 0) return e;
+  for (const double v : values) e.mean += v / static_cast<double>(e.n);
+  double squares = 0;
+  for (const double v : values) squares += (v - e.mean) * (v - e.mean);
+  if (e.n > 1) e.error = std::sqrt(squares / static_cast<double>(e.n - 1) / static_cast<double>(e.n));
+  return e;
+}
+
+}  // namespace
+
+std::string_view NameOf(Outcome outcome) { return kNames[static_cast<std::size_t>(outcome)]; }
+
+Results::Results(const std::vector<std::string>& classes) {
+  for (const std::string& name : classes) classes_.push_back({name, {}, {}});
+}
+
+void Results::Add(std::size_t request_class, Outcome outcome, const Timing& timing) {
+  const auto o = static_cast<std::size_t>(outcome);
+  const auto at = static_cast<std::size_t>(std::max<std::int64_t>(0, timing.intended.count() / 1000000));
+  const std::size_t second = std::min(at, kMostSeconds - 1);
+  if (seconds_.size() <= second) seconds_.resize(second + 1);
+  ++seconds_[second].outcomes[o];
+  Class& c = classes_.at(request_class);
+  c.open[o].Add(timing.answered - timing.intended);
+  if (outcome != Outcome::kUnsent) {
+    seconds_[second].latencies.Add(timing.answered - timing.intended);
+    c.closed[o].Add(timing.answered - timing.sent);
+    lateness_.Add(timing.sent - timing.intended);
+  }
+}
+
+Results& Results::operator+=(const Results& other) {
+  if (classes_.size() != other.classes_.size()) throw BadResults("results of other classes");
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    if (classes_[i].name != other.classes_[i].name) throw BadResults("results of other classes");
+    for (std::size_t o = 0; o < kOutcomes; ++o) {
+      classes_[i].open[o] += other.classes_[i].open[o];
+      classes_[i].closed[o] += other.classes_[i].closed[o];
+    }
+  }
+  if (seconds_.size() < other.seconds_.size()) seconds_.resize(other.seconds_.size());
+  for (std::size_t s = 0; s < other.seconds_.size(); ++s) {
+    for (std::size_t o = 0; o < kOutcomes; ++o) seconds_[s].outcomes[o] += other.seconds_[s].outcomes[o];
+    seconds_[s].latencies += other.seconds_[s].latencies;
+  }
+  lateness_ += other.lateness_;
+  return *this;
+}
+
+std::uint64_t Results::Count(Outcome outcome) const {
+  std::uint64_t n = 0;
+  for (const Class& c : classes_) n += c.open[static_cast<std::size_t>(outcome)].count();
+  return n;
+}
+
+std::uint64_t Results::total() const {
+  std::uint64_t n = 0;
+  for (std::size_t o = 0; o < kOutcomes; ++o) n += Count(static_cast<Outcome>(o));
+  return n;
+}
+
+Latencies Results::Served(bool open_loop) const {
+  Latencies all;
+  for (const Class& c : classes_)
+    all += (open_loop ? c.open : c.closed)[static_cast<std::size_t>(Outcome::kServed)];
+  return all;
+}
+
+json Results::ToJson() const {
+  json classes = json::array(), seconds = json::array();
+  for (const Class& c : classes_) {
+    json outcomes = json::object();
+    for (std::size_t o = 0; o < kOutcomes; ++o)
+      outcomes[std::string(kNames[o])] = {{"open", load::ToJson(c.open[o])},
+                                          {"closed", load::ToJson(c.closed[o])}};
+    classes.push_back({{"name", c.name}, {"outcomes", outcomes}});
+  }
+  for (const Second& s : seconds_)
+    seconds.push_back({{"outcomes", s.outcomes}, {"latencies", load::ToJson(s.latencies)}});
+  return {{"kestrelload", kForm},
+          {"classes", classes},
+          {"seconds", seconds},
+          {"lateness", load::ToJson(lateness_)}};
+}
+
+Results Results::FromJson(const json& from) {
+  try {
+    if (from.at("kestrelload").get<int>() != kForm) throw BadResults("results of another form than 1");
+    std::vector<std::string> names;
+    for (const json& c : from.at("classes")) names.push_back(c.at("name").get<std::string>());
+    Results results(names);
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      const json& outcomes = from.at("classes").at(i).at("outcomes");
+      for (std::size_t o = 0; o < kOutcomes; ++o) {
+        const json& both = outcomes.at(std::string(kNames[o]));
+        load::FromJson(both.at("open"), &results.classes_[i].open[o]);
+        load::FromJson(both.at("closed"), &results.classes_[i].closed[o]);
+      }
+    }
+    const json& seconds = from.at("seconds");
+    if (seconds.size() > kMostSeconds) throw BadResults("results of more seconds than are kept");
+    for (const json& s : seconds) {
+      Second& second = results.seconds_.emplace_back();
+      second.outcomes = s.at("outcomes").get<std::array<std::uint64_t, kOutcomes>>();
+      load::FromJson(s.at("latencies"), &second.latencies);
+    }
+    load::FromJson(from.at("lateness"), &results.lateness_);
+    return results;
+  } catch (const json::exception& error) {
+    throw BadResults(std::string("no results of kestrelload: ") + error.what());
+  }
+}
+
+std::string Results::Table() const {
+  std::string text = "latency, ms, from the intended time\n";
+  char line[160];
+  std::snprintf(line, sizeof line, "%-22s %9s %10s %10s %10s %10s %10s %10s\n", "", "requests", "p50", "p90",
+                "p99", "p99.9", "p99.99", "max");
+  text += line;
+  for (const Class& c : classes_) {
+    for (std::size_t o = 0; o < kOutcomes; ++o) {
+      if (c.open[o].count() > 0) text += Row(c.name + " " + std::string(kNames[o]), c.open[o]);
+    }
+  }
+  text += Row("all served", Served(true));
+  text += Row("  from the send", Served(false));
+  text += Row("generator's lateness", lateness_);
+  const std::uint64_t all = total();
+  for (std::size_t o = 0; o < kOutcomes && all > 0; ++o) {
+    const std::uint64_t n = Count(static_cast<Outcome>(o));
+    std::snprintf(line, sizeof line, "%-10s %9llu  %6.2f%%\n", std::string(kNames[o]).c_str(),
+                  static_cast<unsigned long long>(n),
+                  100.0 * static_cast<double>(n) / static_cast<double>(all));
+    text += line;
+  }
+  const Microseconds late = lateness_.Quantile(0.99);
+  if (Count(Outcome::kUnsent) > 0 || late > kLate)
+    text += "the generator was outrun: " + std::to_string(Count(Outcome::kUnsent)) +
+            " requests were not sent, and 1 % were sent " + Ms(late) +
+            " ms late or more. Their latencies count from the intended time all the same.\n";
+  return text;
+}
+
+std::string Results::Html(const std::string& title) const {
+  Line p50{"p50", "#2a7", {}}, p99{"p99", "#27a", {}}, most{"max", "#c33", {}};
+  std::vector<Line> outcomes;
+  constexpr std::array kColours{"#2a7", "#e90", "#c33", "#777", "#000"};
+  for (std::size_t o = 0; o < kOutcomes; ++o) outcomes.push_back({std::string(kNames[o]), kColours[o], {}});
+  double highest = 1, busiest = 1;
+  for (const Second& s : seconds_) {
+    p50.values.push_back(InMs(s.latencies.Quantile(0.5)));
+    p99.values.push_back(InMs(s.latencies.Quantile(0.99)));
+    most.values.push_back(InMs(s.latencies.most()));
+    highest = std::max(highest, most.values.back());
+    for (std::size_t o = 0; o < kOutcomes; ++o) {
+      outcomes[o].values.push_back(static_cast<double>(s.outcomes[o]));
+      busiest = std::max(busiest, outcomes[o].values.back());
+    }
+  }
+  std::vector<Line> curve{{"from the intended time", "#27a", {}},
+                          {"from the send: hides what a stall held back", "#e90", {}}};
+  std::vector<std::string> marks;
+  const Latencies open = Served(true), closed = Served(false);
+  for (int nines = 0; nines <= 40; ++nines) {  // p0 to p99.99, evenly in nines
+    const double q = 1 - std::pow(10, -nines / 10.0);
+    curve[0].values.push_back(InMs(open.Quantile(q)));
+    curve[1].values.push_back(InMs(closed.Quantile(q)));
+    marks.push_back(nines % 10 == 0 ? (nines == 0 ? "p0" : "p" + Format("%.4g", 100 * q)) : "");
+  }
+  const double top = std::max(highest, InMs(open.most()));
+  return "<!doctype html><html lang='en'><meta charset='utf-8'><title>" + Escaped(title) +
+         "</title><style>body{font:15px sans-serif;max-width:900px;margin:2em auto;padding:0 "
+         "1em}svg{width:100%}"
+         ".g{stroke:#ddd}text{font-size:11px;fill:#555}.y{text-anchor:end}.x{text-anchor:middle}"
+         "polyline{stroke-width:1.5}pre{overflow:auto}</style><h1>" +
+         Escaped(title) + "</h1><h2>Latency by second</h2>" +
+         Svg({p50, p99, most}, 0.01, std::max(1.0, top), true, SecondMarks(seconds_.size()), "ms") +
+         "<h2>Served, by percentile</h2>" + Svg(curve, 0.01, std::max(1.0, top), true, marks, "ms") +
+         "<h2>Outcomes by second</h2>" + Svg(outcomes, 0, busiest, false, SecondMarks(seconds_.size()), "") +
+         "<h2>Table</h2><pre>" + Escaped(Table()) + "</pre></html>\n";
+}
+
+std::string Compare(const Results& a, const Results& b) {
+  using Measure = std::function<double(const Results::Second&)>;
+  const auto quantile = [](double q) -> Measure {
+    return [q](const Results::Second& s) { return InMs(s.latencies.Quantile(q)); };
+  };
+  const std::pair<const char*, Measure> measures[] = {
+      {"p50", quantile(0.5)},
+      {"p99", quantile(0.99)},
+      {"max", quantile(1)},
+      {"served share", [](const Results::Second& s) {
+         std::uint64_t all = 0;
+         for (const auto n : s.outcomes) all += n;
+         return all == 0 ? 0 : static_cast<double>(s.outcomes[0]) / static_cast<double>(all);
+       }}};
+  std::string text = "by second           a          b      ratio  +/-\n";
+  for (const auto& [name, measure] : measures) {
+    const auto values = [&measure = measure](const Results& results) {
+      std::vector<double> all;
+      for (const auto& second : results.seconds()) {
+        if (second.latencies.count() > 0) all.push_back(measure(second));
+      }
+      return Over(all);
+    };
+    const Estimate x = values(a), y = values(b);
+    char line[160];
+    if (x.n < 2 || y.n < 2 || x.mean <= 0) {
+      std::snprintf(line, sizeof line, "%-13s too few seconds to compare\n", name);
+    } else {
+      const double ratio = y.mean / x.mean;
+      const double error = std::hypot(y.error / x.mean, ratio * x.error / x.mean);
+      std::snprintf(line, sizeof line, "%-13s %8.3f   %8.3f   %8.3f  %.3f%s\n", name, x.mean, y.mean, ratio,
+                    error, std::abs(ratio - 1) <= error ? "  noise" : "");
+    }
+    text += line;
+  }
+  return text;
+}
+
+}  // namespace kestrelline::load
--- a/src/operator/document.cpp
+++ b/src/operator/document.cpp
@@ -4,6 +4,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <sstream>
 
 namespace kestrelline::operator_file {
@@ -89,6 +90,8 @@
       return "share";
     case Kind::kWhole:
       return "whole number";
+    case Kind::kNumber:
+      return "number";
     case Kind::kTable:
       return "table";
     case Kind::kTables:
@@ -225,6 +228,23 @@
   return At<std::int64_t>{whole->get(), PositionOf(node->source())};
 }
 
+std::optional<At<double>> TableReader::Number(std::string_view key, double least, double most) const {
+  const toml::node* node = Find(key);
+  if (!node) return std::nullopt;
+  if (!node->is_number()) {
+    Complain(*node, key, "is " + std::string(TypeOf(*node)) + "; a number is accepted");
+    return std::nullopt;
+  }
+  const double value = node->value<double>().value_or(least - 1);
+  if (!(value >= least && value <= most)) {
+    char range[96];
+    std::snprintf(range, sizeof range, " is %g; %g to %g is accepted", value, least, most);
+    diagnostics_->Add(PositionOf(node->source()), "range", name_ + '.' + std::string(key) + range);
+    return std::nullopt;
+  }
+  return At<double>{value, PositionOf(node->source())};
+}
+
 const toml::table* TableReader::Table(std::string_view key) const {
   const toml::node* node = Find(key);
   if (!node) return nullptr;
--- a/src/operator/document.h
+++ b/src/operator/document.h
@@ -31,7 +31,7 @@
 
 inline constexpr std::int64_t kVersion = 1;
 
-enum class Kind { kText, kTexts, kDuration, kPause, kShare, kWhole, kTable, kTables };
+enum class Kind { kText, kTexts, kDuration, kPause, kShare, kWhole, kNumber, kTable, kTables };
 
 struct Key {
   std::string_view name;
@@ -52,6 +52,7 @@
   std::optional<At<Milliseconds>> Duration(std::string_view key) const;
   std::optional<At<double>> Share(std::string_view key) const;
   std::optional<At<std::int64_t>> Whole(std::string_view key, std::int64_t least, std::int64_t most) const;
+  std::optional<At<double>> Number(std::string_view key, double least, double most) const;  // whole ones too
   // Calls `each` for every table of an array of tables.
   void Tables(std::string_view key, const std::function<void(const toml::table&, Position)>& each) const;
   // Calls `each` for every key of a table whose values are tables, or texts, in the order of the file.
--- /dev/null
+++ b/tests/load/engine_test.cpp
@@ -0,0 +1,191 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The generator on sockets, against stand-ins that stall, refuse and close.
+#include "load/engine.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <set>
+
+#include "support/loopback.h"
+
+namespace kestrelline::load {
+namespace {
+
+using brackenspoke::testing::Backend;
+using brackenspoke::testing::HttpRequest;
+using brackenspoke::testing::kDeclined;
+using brackenspoke::testing::OkAnswer;
+using brackenspoke::testing::SendRaw;
+using brackenspoke::testing::Tcp;
+using brackenspoke::testing::Watched;
+
+Plan PlanOf(double rate, double seconds) {
+  Plan plan;
+  plan.classes = {{"look", Effect::kSafe, Microseconds(30000000)},
+                  {"book", Effect::kUnsafe, Microseconds(30000000)}};
+  plan.mixture.shapes = {Constant{rate}};
+  plan.mixture.spacing = Spacing::kEven;
+  plan.mixture.classes = {{"look", 1, 0, 0}, {"book", 1, 10, 1000}};
+  plan.mixture.seconds = seconds;
+  return plan;
+}
+
+struct Played {
+  explicit Played(const Plan& plan, std::vector<Tcp::endpoint> targets) : results({"look", "book"}) {
+    boost::asio::io_context io(1);
+    Arrivals arrivals(plan.mixture, plan.seed);
+    Engine engine(
+        io, plan, std::move(targets), [&] { return arrivals.Next(); },
+        [&](const Arrival& a, Outcome outcome, const Timing& t) {
+          results.Add(a.request_class, outcome, t);
+          ended.push_back({outcome, t});
+        });
+    engine.Start([&] { over = true; });
+    io.run();
+    opened = engine.opened();
+  }
+  Results results;
+  std::vector<std::pair<Outcome, Timing>> ended;
+  bool over = false;
+  std::uint64_t opened = 0;
+};
+
+// One connection stands for a client that waits. The stand-in stops answering for a second; the requests that
+// were meant for that second all show it, though only one of them was on its way.
+TEST(Engine, AStallOfASecondIsSeenByAllThatWereMeantForIt) {
+  Watched<int> asked;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    int n = 0;
+    asked.Do([&](int& all) { n = ++all; });
+    if (n == 50) std::this_thread::sleep_for(std::chrono::seconds(1));  // the fault itself
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Plan plan = PlanOf(200, 2);
+  plan.connections = 1;
+  const Played played(plan, {backend.address()});
+  EXPECT_TRUE(played.over);
+  ASSERT_EQ(played.results.Count(Outcome::kServed), 400u);
+  const Latencies open = played.results.Served(true), closed = played.results.Served(false);
+  EXPECT_GE(open.most(), std::chrono::seconds(1));
+  // 200 a second: those of the first half of the stall waited for half a second and more. A slow machine has
+  // more.
+  EXPECT_GE(open.Over(Microseconds(500000)), 99u);
+  EXPECT_LT(closed.Over(Microseconds(500000)), 3u) << "a count from the send hides them";
+  EXPECT_GE(played.results.lateness().Over(Microseconds(500000)), 98u) << "and the lateness tells why";
+}
+
+// The one connection is held by a patient request; the others wait for it until their clients would have
+// gone.
+TEST(Engine, WhatFindsNoConnectionBeforeItsDeadlineIsNotSentAndSaidSo) {
+  Watched<bool> go;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    go.WaitFor([](bool g) { return g; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Plan plan = PlanOf(1, 1);
+  plan.connections = 1;
+  plan.classes[1].deadline = Microseconds(50000);
+  std::vector<Arrival> arrivals{{Microseconds(0), 0, 0, 0, 0}};
+  for (int i = 1; i <= 10; ++i) arrivals.push_back({Microseconds(1000 * i), 1, 0, 0, 0});
+  std::size_t next = 0;
+  Results results({"look", "book"});
+  boost::asio::io_context io(1);
+  Engine engine(
+      io, plan, {backend.address()},
+      [&]() -> std::optional<Arrival> {
+        return next < arrivals.size() ? std::optional(arrivals[next++]) : std::nullopt;
+      },
+      [&](const Arrival& a, Outcome outcome, const Timing& t) {
+        results.Add(a.request_class, outcome, t);
+        if (results.total() == 10) go.Do([](bool& g) { g = true; });
+      });
+  engine.Start([] {});
+  io.run();
+  EXPECT_EQ(results.Count(Outcome::kUnsent), 10u);
+  EXPECT_EQ(results.Count(Outcome::kServed), 1u);
+  EXPECT_EQ(backend.seen.Get().requests.size(), 1u);
+}
+
+TEST(Engine, ConnectionsAreKeptAndOpenedAsNeeded) {
+  Backend backend;
+  const Played played(PlanOf(300, 1), {backend.address()});
+  EXPECT_EQ(played.results.Count(Outcome::kServed), 300u);
+  EXPECT_LT(played.opened, 150u);
+  const auto seen = backend.seen.Get();
+  EXPECT_EQ(seen.requests.size(), 300u);
+  std::set<std::string> ids;
+  for (const auto& request : seen.requests) {
+    ids.emplace(request["Req-Id"]);
+    EXPECT_EQ(request.method() == boost::beast::http::verb::get, request["Req-Kind"] == "look");
+    EXPECT_GT(std::stoi(std::string(request["Req-Deadline-Ms"])), 0);
+  }
+  EXPECT_EQ(ids.size(), 300u) << "each has an id of its own";
+}
+
+TEST(Engine, RefusedRequestsAreTriedAgainAsOftenAsThePlanSays) {
+  for (const int retries : {0, 2}) {
+    Backend backend([](Tcp::socket& s, const HttpRequest&) {
+      SendRaw(s, kDeclined);
+      return true;
+    });
+    Plan plan = PlanOf(100, 0.2);
+    plan.retries = retries;
+    plan.retry_pause = Microseconds(1000);
+    const Played played(plan, {backend.address()});
+    EXPECT_EQ(played.results.Count(Outcome::kRefused), 20u);
+    EXPECT_EQ(backend.seen.Get().requests.size(), 20u * static_cast<unsigned>(1 + retries));
+  }
+}
+
+// Closed between requests without a word: what crosses the close is sent once more, and each is served.
+TEST(Engine, AKeptConnectionThatWasClosedCostsNoRequest) {
+  Backend backend([](Tcp::socket& s, const HttpRequest&) {
+    SendRaw(s, OkAnswer("served"));
+    return false;
+  });
+  const Played played(PlanOf(200, 0.5), {backend.address()});
+  EXPECT_EQ(played.results.Count(Outcome::kServed), 100u);
+}
+
+TEST(Engine, NobodyListensAndEachRequestFails) {
+  Tcp::endpoint nobody;
+  {
+    boost::asio::io_context io;
+    nobody = Tcp::acceptor(io, brackenspoke::testing::kAnyPort).local_endpoint();
+  }
+  const Played played(PlanOf(100, 0.3), {nobody});
+  EXPECT_EQ(played.results.Count(Outcome::kFailed), 30u);
+}
+
+TEST(Engine, StoppedEarlyItEndsWhatIsOpenAndNothingIsLost) {
+  Backend backend;
+  const Plan plan = PlanOf(1000, 3600);
+  boost::asio::io_context io(1);
+  Arrivals arrivals(plan.mixture, plan.seed);
+  std::uint64_t drawn = 0, ended = 0;
+  bool over = false;
+  Engine* running = nullptr;
+  Engine engine(
+      io, plan, {backend.address()},
+      [&] {
+        ++drawn;
+        return arrivals.Next();
+      },
+      [&](const Arrival&, Outcome outcome, const Timing&) {
+        EXPECT_EQ(outcome, Outcome::kServed);
+        if (++ended == 100) running->Stop();
+      });
+  running = &engine;
+  engine.Start([&] { over = true; });
+  io.run();
+  EXPECT_TRUE(over);
+  EXPECT_EQ(engine.open_requests(), 0u);
+  EXPECT_EQ(ended, drawn - 1);  // the one drawn ahead was never due
+}
+
+}  // namespace
+}  // namespace kestrelline::load
--- a/tests/routing/table_test.cpp
+++ b/tests/routing/table_test.cpp
@@ -6,6 +6,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -227,6 +229,19 @@
   }
 }
 
+// ---- the page -----------------------------------------------------------------------------------------
+TEST(OperatorFilePage, NamesEveryKeyAndEveryKeySaysWhatItIs) {
+  std::ifstream file(SOURCE_PATH "/docs/operating/operator-file.md");
+  const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  ASSERT_FALSE(page.empty());
+  for (const auto& table : routing::DescribedTables()) {
+    for (const auto& key : table.keys) {
+      EXPECT_NE(page.find("`" + std::string(key.name) + "`"), std::string::npos) << key.name;
+      EXPECT_GT(key.doc.size(), 10u) << key.name;
+    }
+  }
+}
+
 // ---- bounds -------------------------------------------------------------------------------------------
 TEST(RouteTable, TenThousandRoutesTakeFewLookUps) {
   std::string text = "version = 1\n";
--- /dev/null
+++ b/tools/kestrelload/main.cpp
@@ -0,0 +1,329 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The load generator:
+//
+//   kestrelload run PLAN.toml [--json FILE] [--html FILE] [--record TRACE]
+//   kestrelload replay TRACE --plan PLAN.toml [--speed X] [--from S] [--until S] [the same]
+//   kestrelload report FILE... [--html FILE]     files of --json, added up
+//   kestrelload compare A B
+//   kestrelload show TRACE                       a trace in words
+//
+// Exit codes: 0; 1 if something could not be read or written, or a plan is refused; 2 for wrong arguments; 3
+// if the generator was outrun, so that the run was not the one that was planned.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "load/engine.h"
+#include "load/plan.h"
+#include "load/results.h"
+#include "load/trace.h"
+#include "operator/diagnostics.h"
+#include "operator/read_file.h"
+
+namespace {
+
+using namespace kestrelline::load;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr int kBad = 1, kOutrun = 3;
+
+struct Arguments {
+  std::string plan, trace, json, html, record;
+  std::vector<std::string> files;
+  double speed = 1, from = 0, until = 0;
+};
+
+class Unusable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+Plan LoadPlan(const std::string& path) {
+  kestrelline::operator_file::Diagnostics diagnostics(path);
+  const auto text =
+      kestrelline::operator_file::ReadWhole(path, kestrelline::operator_file::kMostFileBytes, &diagnostics);
+  auto plan = text ? ReadPlan(*text, &diagnostics) : std::nullopt;
+  if (plan) return std::move(*plan);
+  std::string all;
+  for (const auto& line : diagnostics.Lines()) all += (all.empty() ? "" : "\n") + line;
+  throw Unusable(all);
+}
+
+std::vector<Tcp::endpoint> TargetsOf(const Plan& plan) {
+  std::vector<Tcp::endpoint> targets;
+  for (const std::string& target : plan.targets) {
+    const auto colon = target.rfind(':');
+    std::string host = target.substr(0, colon);
+    if (host.starts_with('[')) host = host.substr(1, host.size() - 2);
+    boost::system::error_code failed;
+    const auto address = asio::ip::make_address(host, failed);
+    const long port = std::strtol(target.c_str() + colon + 1, nullptr, 10);
+    if (failed || !address.is_loopback() || port < 1 || port > 65535)
+      throw Unusable("'" + target + "' is no ADDRESS:PORT on loopback");
+    targets.emplace_back(address, static_cast<unsigned short>(port));
+  }
+  return targets;
+}
+
+void WriteFile(const std::string& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary | std::ios::trunc);
+  out << text;
+  out.close();
+  if (!out) throw Unusable(path + ": cannot be written");
+}
+
+TraceOutcome InTrace(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kServed:
+      return TraceOutcome::kServed;
+    case Outcome::kRefused:
+      return TraceOutcome::kRefused;
+    case Outcome::kFailed:
+      return TraceOutcome::kFailed;
+    case Outcome::kGaveUp:
+    case Outcome::kUnsent:
+      return TraceOutcome::kGaveUp;
+  }
+  return TraceOutcome::kNone;
+}
+
+// One line on a terminal, rewritten; nothing in a pipe.
+class Progress {
+ public:
+  Progress(asio::io_context& io, const Results& results, const Engine& engine)
+      : timer_(io), results_(results), engine_(engine), on_(isatty(STDERR_FILENO) != 0) {
+    if (on_) Again();
+  }
+  void Stop() {
+    timer_.cancel();
+    if (on_) std::fprintf(stderr, "\r\033[K");
+  }
+
+ private:
+  void Again() {
+    timer_.expires_after(std::chrono::milliseconds(500));
+    timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (cancelled) return;
+      std::fprintf(stderr, "\r\033[K%llu ended, %llu served, %zu open",
+                   static_cast<unsigned long long>(results_.total()),
+                   static_cast<unsigned long long>(results_.Count(Outcome::kServed)),
+                   engine_.open_requests());
+      Again();
+    });
+  }
+  asio::steady_timer timer_;
+  const Results& results_;
+  const Engine& engine_;
+  bool on_;
+};
+
+// Requests end in another order than they were meant in, and a trace is in the order of these: what has ended
+// waits for what has not.
+class Recorder {
+ public:
+  Recorder(const std::string& path, const Plan& plan)
+      : path_(path), file_(path, std::ios::binary | std::ios::trunc) {
+    if (!file_) throw Unusable(path + ": cannot be written");
+    TraceHead head;
+    for (const auto& c : plan.classes) head.classes.push_back(c.name);
+    head.tenants = plan.tenants;
+    writer_ = std::make_unique<TraceWriter>(file_, head);
+  }
+  void Began(const Arrival& arrival) {
+    open_.emplace(arrival.at, Entry{{arrival, TraceOutcome::kNone, {}}, false});
+  }
+  void Ended(const Arrival& arrival, Outcome outcome, const Timing& timing) {
+    auto [entry, end] = open_.equal_range(arrival.at);
+    while (entry != end && (entry->second.over || !(entry->second.record.arrival == arrival))) ++entry;
+    if (entry == end) return;
+    entry->second.over = true;
+    entry->second.record.outcome = InTrace(outcome);
+    entry->second.record.latency = timing.answered - timing.intended;
+    while (!open_.empty() && open_.begin()->second.over) {
+      writer_->Add(open_.begin()->second.record);
+      open_.erase(open_.begin());
+    }
+  }
+  void Close() {
+    for (const auto& [at, entry] : open_) writer_->Add(entry.record);
+    writer_->Close();
+  }
+
+ private:
+  struct Entry {
+    TraceRecord record;
+    bool over = false;
+  };
+  std::string path_;
+  std::ofstream file_;
+  std::unique_ptr<TraceWriter> writer_;
+  std::multimap<Microseconds, Entry> open_;
+};
+
+int Play(const Plan& plan, Engine::Source source, const Arguments& arguments) {
+  asio::io_context io(1);
+  std::vector<std::string> names;
+  for (const auto& c : plan.classes) names.push_back(c.name);
+  Results results(names);
+  std::unique_ptr<Recorder> recorder;
+  if (!arguments.record.empty()) {
+    recorder = std::make_unique<Recorder>(arguments.record, plan);
+    source = [&recorder, from = std::move(source)] {
+      const auto next = from();
+      if (next) recorder->Began(*next);
+      return next;
+    };
+  }
+  Engine engine(io, plan, TargetsOf(plan), std::move(source),
+                [&](const Arrival& arrival, Outcome outcome, const Timing& timing) {
+                  results.Add(arrival.request_class, outcome, timing);
+                  if (recorder) recorder->Ended(arrival, outcome, timing);
+                });
+  // Ctrl-C ends the arrivals; what is open ends as it would, and the report is of what was.
+  asio::signal_set stop(io, SIGINT, SIGTERM);
+  stop.async_wait([&](const boost::system::error_code& failed, int) {
+    if (!failed) engine.Stop();
+  });
+  Progress progress(io, results, engine);
+  engine.Start([&] { io.stop(); });
+  io.run();
+  progress.Stop();
+  if (recorder) recorder->Close();
+  if (!arguments.json.empty()) WriteFile(arguments.json, results.ToJson().dump() + "\n");
+  if (!arguments.html.empty()) WriteFile(arguments.html, results.Html("kestrelload " + arguments.plan));
+  std::cout << results.Table();
+  return results.Count(Outcome::kUnsent) > 0 ? kOutrun : 0;
+}
+
+int Run(const Arguments& arguments) {
+  const Plan plan = LoadPlan(arguments.plan);
+  Arrivals arrivals(plan.mixture, plan.seed);
+  return Play(
+      plan, [&] { return arrivals.Next(); }, arguments);
+}
+
+int ReplayTrace(const Arguments& arguments) {
+  Plan plan = LoadPlan(arguments.plan);
+  std::ifstream file(arguments.trace, std::ios::binary);
+  if (!file) throw Unusable(arguments.trace + ": cannot be read");
+  TraceReader reader(file);
+  // The trace numbers classes in its own order: what it names, the plan must know.
+  std::vector<std::uint32_t> classes;
+  for (const std::string& name : reader.head().classes) {
+    const auto found = std::find_if(plan.classes.begin(), plan.classes.end(),
+                                    [&](const PlanClass& c) { return c.name == name; });
+    if (found == plan.classes.end())
+      throw Unusable(arguments.plan + ": has no class '" + name + "' of the trace");
+    classes.push_back(static_cast<std::uint32_t>(found - plan.classes.begin()));
+  }
+  plan.tenants = reader.head().tenants;
+  if (!(arguments.speed > 0)) throw Unusable("--speed must be over 0");
+  Replay replay;
+  replay.speed = arguments.speed;
+  replay.from = Microseconds(static_cast<std::int64_t>(arguments.from * 1e6));
+  if (arguments.until > 0) replay.until = Microseconds(static_cast<std::int64_t>(arguments.until * 1e6));
+  return Play(
+      plan,
+      [&]() -> std::optional<Arrival> {
+        while (auto record = reader.Next()) {
+          const auto due = replay.DueAt(record->arrival.at);
+          if (!due) continue;
+          record->arrival.at = *due;
+          record->arrival.request_class = classes[record->arrival.request_class];
+          return record->arrival;
+        }
+        return std::nullopt;
+      },
+      arguments);
+}
+
+Results LoadResults(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw Unusable(path + ": cannot be read");
+  try {
+    return Results::FromJson(nlohmann::json::parse(file));
+  } catch (const std::exception& error) {
+    throw Unusable(path + ": " + error.what());
+  }
+}
+
+int Report(const Arguments& arguments) {
+  Results all = LoadResults(arguments.files.front());
+  for (std::size_t i = 1; i < arguments.files.size(); ++i) all += LoadResults(arguments.files[i]);
+  if (!arguments.html.empty()) WriteFile(arguments.html, all.Html("kestrelload"));
+  std::cout << all.Table();
+  return 0;
+}
+
+int Show(const Arguments& arguments) {
+  std::ifstream file(arguments.trace, std::ios::binary);
+  if (!file) throw Unusable(arguments.trace + ": cannot be read");
+  TraceReader reader(file);
+  constexpr const char* kNames[] = {"-", "served", "refused", "failed", "gave_up"};
+  std::printf("at_us,class,tenant,key,bytes,outcome,latency_us\n");
+  while (const auto r = reader.Next()) {
+    const auto& tenants = reader.head().tenants;
+    std::printf("%lld,%s,%s,%u,%u,%s,%lld\n", static_cast<long long>(r->arrival.at.count()),
+                reader.head().classes[r->arrival.request_class].c_str(),
+                tenants.empty() ? "" : tenants[r->arrival.tenant].c_str(), r->arrival.key, r->arrival.bytes,
+                kNames[static_cast<std::size_t>(r->outcome)], static_cast<long long>(r->latency.count()));
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Arguments arguments;
+  CLI::App app{"An open-loop load generator: latencies count from when a request was meant to be sent."};
+  app.require_subcommand(1);
+  auto* run = app.add_subcommand("run", "Plays a plan");
+  run->add_option("PLAN", arguments.plan)->required();
+  auto* replay = app.add_subcommand("replay", "Plays a trace");
+  replay->add_option("TRACE", arguments.trace)->required();
+  replay->add_option("--plan", arguments.plan, "Targets, clients and classes")->required();
+  replay->add_option("--speed", arguments.speed, "2: twice as fast");
+  replay->add_option("--from", arguments.from, "Seconds of the trace");
+  replay->add_option("--until", arguments.until, "Seconds of the trace");
+  for (auto* sub : {run, replay}) {
+    sub->add_option("--json", arguments.json, "Results for report and compare");
+    sub->add_option("--record", arguments.record, "A trace of the run");
+  }
+  auto* report = app.add_subcommand("report", "Adds up results and shows them");
+  report->add_option("FILE", arguments.files)->required();
+  for (auto* sub : {run, replay, report})
+    sub->add_option("--html", arguments.html, "A page that needs nothing else");
+  auto* compare = app.add_subcommand("compare", "Ratios of two results");
+  compare->add_option("FILE", arguments.files)->required()->expected(2);
+  auto* show = app.add_subcommand("show", "A trace as CSV");
+  show->add_option("TRACE", arguments.trace)->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  try {
+    if (run->parsed()) return Run(arguments);
+    if (replay->parsed()) return ReplayTrace(arguments);
+    if (report->parsed()) return Report(arguments);
+    if (show->parsed()) return Show(arguments);
+    std::cout << Compare(LoadResults(arguments.files[0]), LoadResults(arguments.files[1]));
+    return 0;
+  } catch (const BadTrace& error) {
+    std::fprintf(stderr, "%s: %s\n", arguments.trace.c_str(), error.what());
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+  }
+  return kBad;
+}
