--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -207,9 +207,13 @@
     const AttemptDone done = std::exchange(done_, nullptr);
     request_ = {};
     head_ = {};
-    parser_.reset();
-    buffer_.clear();
-    buffer_.shrink_to_fit();  // what stands idle keeps no memory
+    // Where the attempt was given up, a read may be on its way, and have its bytes already: what it reads
+    // into goes with the connection.
+    if (reusable_) {
+      parser_.reset();
+      buffer_.clear();
+      buffer_.shrink_to_fit();  // what stands idle keeps no memory
+    }
     // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
     if (std::exchange(reusable_, false) && owner_) {
       owner_->Keep(self);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -956,5 +956,28 @@
   EXPECT_TRUE(clients.front()->Ended());
 }
 
+// The loop stands still while an answer of several reads comes and its time runs out: once it goes on, the
+// time-out is handled between two of these reads.
+TEST(Proxy, AnAnswerThatArrivesAsItsTimeIsUpIsNoCrash) {
+  Watched<bool> go;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    go.WaitFor([](bool g) { return g; });
+    SendRaw(s, OkAnswer(std::string(20000, 'x')));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Look("Req-Deadline-Ms: 200\r\n"));
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  site.proxy->Ask([&](proxy::Proxy&) {
+    go.Do([](bool& g) { g = true; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));  // the fault itself
+    return 0;
+  });
+  EXPECT_GT(client.Read().result_int(), 0u);
+  EXPECT_EQ(Client(site.proxy->address).Ask(WithId(Look(), "1b")).result_int(), 200u);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
