An attempt given up keeps its request too; load and stand-in say things once

Change: the connection to a backend keeps the request with its parser; the rest of a turned-away client goes to a buffer of its own; bench/measured_process.h, load::ReadEffect, HeldAddress::Listen and tests/support/small_site.h are used where the copies stood. No behaviour is changed besides.

--- a/bench/cost_bench.cpp
+++ b/bench/cost_bench.cpp
@@ -5,56 +5,36 @@
 // microsecond: CPU and latency at an open loop of 2,000 requests a second, and instructions (of user space)
 // by callgrind over 1,000 and 5,000 requests on one connection, of which the difference is divided. Needs
 // valgrind. Figures: docs/design/load.md.
-#include <fcntl.h>
-#include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/write.hpp>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
-#include <fstream>
 #include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "load/engine.h"
+#include "measured_process.h"
 #include "standin/fleet.h"
-
-extern char** environ;
+#include "support/client.h"
+#include "support/small_site.h"
 
 namespace {
 
 using namespace kestrelline;
+using brackenspoke::testing::Client;
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
 constexpr double kRate = 2000, kSeconds = 10;
-constexpr int kFew = 1000, kMany = 5000;
 
+// Answers as large and requests as slow to give up as were measured before: figures compare.
 standin::SiteSpec SiteOf(int converters) {
-  standin::SiteSpec site;
-  site.proxies = 1;
-  site.zones = {"a"};
-  for (const auto& [name, effect] : {std::pair{"look", load::Effect::kSafe},
-                                     {"change", load::Effect::kKeyed},
-                                     {"book", load::Effect::kUnsafe}}) {
-    standin::SiteClass c;
-    c.name = name, c.effect = effect, c.work_s = 1e-6, c.spread = 0, c.deadline = load::Microseconds(5000000);
-    site.classes.push_back(c);
-  }
-  for (int i = 0; i < converters; ++i) {
-    standin::ConverterSpec c;
-    c.id = "s-" + std::to_string(i), c.zone = "a", c.kind = "m", c.cores = 8;
-    site.converters.push_back(c);
-  }
+  standin::SiteSpec site = testing::SmallSite(converters);
+  for (auto& c : site.classes) c.work_s = 1e-6, c.answer_bytes = 200, c.deadline = testing::Ms(5000);
+  for (auto& c : site.converters) c.cell = 0, c.cores = 8;
   return site;
 }
 
@@ -69,7 +49,7 @@
       io_.run();
     });
     ready.get_future().wait();
-    converter_ = fleet_.membership().Find("s-0")->addresses[0];
+    converter_ = fleet_.membership().Find("s-00")->addresses[0];
   }
   ~Site() {
     asio::post(io_, [this] { io_.stop(); });
@@ -91,83 +71,6 @@
           static_cast<unsigned short>(std::atoi(text.c_str() + text.rfind(':') + 1))};
 }
 
-class Process {
- public:
-  Process(std::vector<std::string> command, const std::string& config) {
-    char name[] = "/tmp/kestrelline-cost-XXXXXX";
-    close(mkstemp(name));
-    log_ = name;
-    std::vector<std::string> environment;
-    for (char** entry = environ; *entry; ++entry) environment.emplace_back(*entry);
-    environment.push_back("ROUTER_CONFIG=" + config);
-    std::vector<char*> argv, env;
-    for (auto& word : command) argv.push_back(word.data());
-    for (auto& entry : environment) env.push_back(entry.data());
-    argv.push_back(nullptr), env.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, name, O_WRONLY | O_TRUNC, 0600);
-    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    if (posix_spawnp(&pid_, argv[0], &actions, nullptr, argv.data(), env.data()) != 0) {
-      std::fprintf(stderr, "%s cannot be started\n", argv[0]);
-      std::exit(1);
-    }
-    posix_spawn_file_actions_destroy(&actions);
-  }
-  ~Process() {
-    End();
-    unlink(log_.c_str());
-  }
-  void End() {
-    if (pid_ <= 0) return;
-    kill(pid_, SIGTERM);
-    waitpid(pid_, nullptr, 0);
-    pid_ = -1;
-  }
-  // Of its one thread, in microseconds.
-  double CpuUs() const {
-    std::ifstream file("/proc/" + std::to_string(pid_) + "/schedstat");
-    double ns = 0;
-    file >> ns;
-    return ns / 1000;
-  }
-  std::string Log() const {
-    std::ifstream file(log_);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-  }
-
- private:
-  pid_t pid_ = -1;
-  std::string log_;
-};
-
-// One request and its answer; the status, or 0.
-class OneConnection {
- public:
-  explicit OneConnection(const Tcp::endpoint& to) : socket_(io_) { socket_.connect(to); }
-  int Ask(const std::string& request) {
-    boost::system::error_code failed;
-    asio::write(socket_, asio::buffer(request), failed);
-    std::string got;
-    char piece[4096];
-    while (!failed) {
-      got.append(piece, socket_.read_some(asio::buffer(piece), failed));
-      const auto head = got.find("\r\n\r\n");
-      const auto length = got.find("Content-Length: ");
-      if (head == std::string::npos || length == std::string::npos) continue;
-      if (got.size() >= head + 4 + static_cast<std::size_t>(std::atoi(got.c_str() + length + 16)))
-        return std::atoi(got.c_str() + 9);
-    }
-    return 0;
-  }
-
- private:
-  asio::io_context io_;
-  Tcp::socket socket_;
-};
-
 std::string Request(int i) {
   const char* kind = i % 3 == 0 ? "look" : i % 3 == 1 ? "change" : "book";
   std::string text = std::string(i % 3 == 0 ? "GET /" : "POST /") + kind +
@@ -180,7 +83,7 @@
 void WaitUntilServes(const Tcp::endpoint& address) {
   for (int i = 0;; ++i) {
     try {
-      if (OneConnection(address).Ask(Request(900000 + 3 * i)) == 200) return;
+      if (Client(address).Ask(Request(900000 + 3 * i)).result_int() == 200) return;
     } catch (const boost::system::system_error&) {
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -190,7 +93,7 @@
 struct Subject {
   std::string name;
   std::vector<std::string> command;  // empty: a direct connection
-  std::string config;
+  std::vector<std::string> environment;
   Tcp::endpoint address;
 };
 
@@ -199,8 +102,9 @@
 };
 
 void PlayOpenLoop(const Subject& subject, Figures* figures) {
-  std::unique_ptr<Process> process;
-  if (!subject.command.empty()) process = std::make_unique<Process>(subject.command, subject.config);
+  std::unique_ptr<bench::MeasuredProcess> process;
+  if (!subject.command.empty())
+    process = std::make_unique<bench::MeasuredProcess>(subject.command, subject.environment);
   WaitUntilServes(subject.address);
   load::Plan plan;
   plan.classes = {{"look", load::Effect::kSafe, load::Microseconds(5000000)},
@@ -228,27 +132,14 @@
   figures->p99_us = static_cast<double>(latencies.Quantile(0.99).count());
 }
 
-double Collected(const Subject& subject, int requests) {
-  std::vector<std::string> command{"valgrind", "--tool=callgrind", "--callgrind-out-file=/dev/null"};
-  command.insert(command.end(), subject.command.begin(), subject.command.end());
-  Process process(command, subject.config);
+void PlayOneByOne(const Subject& subject, int requests) {
   WaitUntilServes(subject.address);
-  {
-    OneConnection connection(subject.address);
-    for (int i = 0; i < requests; ++i) {
-      if (connection.Ask(Request(i)) == 200) continue;
-      std::fprintf(stderr, "%s: request %d was not served\n", subject.name.c_str(), i);
-      std::exit(1);
-    }
-  }
-  process.End();
-  const std::string log = process.Log();
-  const auto at = log.find("Collected : ");
-  if (at == std::string::npos) {
-    std::fprintf(stderr, "%s\n", log.c_str());
+  Client client(subject.address);
+  for (int i = 0; i < requests; ++i) {
+    if (client.Ask(Request(i)).result_int() == 200) continue;
+    std::fprintf(stderr, "%s: request %d was not served\n", subject.name.c_str(), i);
     std::exit(1);
   }
-  return std::strtod(log.c_str() + at + std::strlen("Collected : "), nullptr);
 }
 
 }  // namespace
@@ -266,25 +157,27 @@
   Figures floor;
   for (const int converters : {1, 5, 15}) {
     Site site(converters);
-    char config[] = "/tmp/kestrelline-cost-XXXXXX";
-    close(mkstemp(config));
-    std::ofstream(config) << standin::ProxyConfig(site.spec(), 0, proxy.text(), site.discovery());
+    const bench::TemporaryFile config(
+        standin::ProxyConfig(site.spec(), 0, proxy.text(), site.discovery()).dump());
     std::vector<Subject> subjects;
     if (converters == 1) {
-      subjects.push_back({"direct connection", {}, "", EndpointOf(site.converter())});
+      subjects.push_back({"direct connection", {}, {}, EndpointOf(site.converter())});
       subjects.push_back({"relay of bytes",
                           {argv[2], std::to_string(relay.endpoint().port()),
                            site.converter().substr(site.converter().rfind(':') + 1)},
-                          "",
+                          {},
                           relay.endpoint()});
     }
-    subjects.push_back(
-        {"proxy, converters: " + std::to_string(converters), {argv[1]}, config, proxy.endpoint()});
+    subjects.push_back({"proxy, converters: " + std::to_string(converters),
+                        {argv[1]},
+                        {"ROUTER_CONFIG=" + config.path},
+                        proxy.endpoint()});
     for (const Subject& subject : subjects) {
       Figures f;
       PlayOpenLoop(subject, &f);
       if (!subject.command.empty())
-        f.instructions = (Collected(subject, kMany) - Collected(subject, kFew)) / (kMany - kFew);
+        f.instructions = bench::InstructionsARequest(subject.command, subject.environment,
+                                                     [&](int requests) { PlayOneByOne(subject, requests); });
       if (subject.command.empty()) direct50 = f.p50_us, direct99 = f.p99_us;
       if (converters == 1 && subject.command.size() > 1) floor = f;
       std::printf("%-22s %8.0f %12.1f %14.0f %14.0f %10.0f %10.0f %18.0f\n", subject.name.c_str(), f.served,
@@ -295,7 +188,6 @@
                     (f.p99_us - direct99) / (floor.p99_us - direct99), f.instructions / floor.instructions);
       std::fflush(stdout);
     }
-    unlink(config);
   }
   return 0;
 }
--- a/src/load/engine.cpp
+++ b/src/load/engine.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t kMostAnswer = 64 * 1024;
 constexpr double kMostRetryAfter = 3600;        // seconds
 constexpr std::chrono::seconds kPassedOver{1};  // a target that could not be reached
-constexpr std::string_view kMadeFor = "made for ";
 
 bool IsLocal(const Error& failed) {
   return failed == asio::error::no_descriptors ||
@@ -135,17 +134,19 @@
     Engine* engine = engine_;
     if (IsLocal(failed) && engine->connections_.size() > 1) {
       engine->ran_out_at_ = engine->connections_.size() - 1;
-      const auto self = shared_from_this();
-      RequestPtr request = std::exchange(request_, nullptr);
-      --request->tries;
-      Close();
-      return engine->Place(std::move(request));
+      return PlaceElsewhere();
     }
     engine->down_until_[target_] = Steady::now() + kPassedOver;
     if (++request_->unreached >= engine->targets_.size()) return Finish(Outcome::kFailed, false);
+    PlaceElsewhere();
+  }
+
+  // The same try goes on another connection: nobody has read it.
+  void PlaceElsewhere() {
     const auto self = shared_from_this();
     RequestPtr request = std::exchange(request_, nullptr);
     --request->tries;
+    Engine* engine = engine_;
     Close();
     engine->Place(std::move(request));
   }
@@ -160,13 +161,8 @@
       Tell(kept || !written ? Event::Kind::kCrossed : Event::Kind::kEnded);
     }
     if (!kept || request_->again) return Finish(Outcome::kFailed, false);
-    const auto self = shared_from_this();
-    RequestPtr request = std::exchange(request_, nullptr);
-    request->again = true;
-    --request->tries;  // the same try: nobody read it
-    Engine* engine = engine_;
-    Close();
-    engine->Place(std::move(request));
+    request_->again = true;
+    PlaceElsewhere();
   }
 
   void OnAnswer() {
@@ -302,7 +298,7 @@
   if (connections_.size() < (ran_out_at_ > 0 ? ran_out_at_ : plan_.connections)) {
     std::size_t target = first;
     const auto now = Steady::now();
-    for (std::size_t i = 0; i < targets_.size() && down_until_[target] > now; ++i)
+    for (std::size_t i = 1; i < targets_.size() && down_until_[target] > now; ++i)
       target = (first + i) % targets_.size();
     const auto connection = std::make_shared<Connection>(*this, target);
     connections_.insert(connection);
--- a/src/load/events.cpp
+++ b/src/load/events.cpp
@@ -14,7 +14,6 @@
 constexpr std::string_view kHead = "KLEVENTS 1 ";
 constexpr std::string_view kKinds = "SAGECUBFTKPR";
 constexpr std::size_t kMostText = 64, kMostLine = 4096;
-constexpr const char* kEffects[] = {"safe", "keyed", "unsafe"};
 
 std::string Clean(const std::string& text) {
   if (text.empty()) return "-";
@@ -28,7 +27,7 @@
   nlohmann::json classes = nlohmann::json::array();
   for (const ClassRule& c : f.classes)
     classes.push_back({{"name", c.name},
-                       {"effect", kEffects[static_cast<int>(c.effect)]},
+                       {"effect", NameOf(c.effect)},
                        {"all_drop", c.all_drop},
                        {"window_us", c.window.count()}});
   return {{"classes", classes},
@@ -44,10 +43,9 @@
   RuleFigures f;
   for (const auto& c : json.at("classes")) {
     const std::string effect = c.at("effect");
-    const auto found = std::find(std::begin(kEffects), std::end(kEffects), effect);
-    if (found == std::end(kEffects)) throw BadEvents("'" + effect + "' is no effect");
-    f.classes.push_back({c.at("name"), static_cast<Effect>(found - std::begin(kEffects)), c.at("all_drop"),
-                         Microseconds(c.at("window_us"))});
+    const auto known = EffectNamed(effect);
+    if (!known) throw BadEvents("'" + effect + "' is no effect");
+    f.classes.push_back({c.at("name"), *known, c.at("all_drop"), Microseconds(c.at("window_us"))});
   }
   f.most_attempts = json.at("most_attempts");
   f.parallel_tries = json.at("parallel_tries");
--- a/src/load/events.h
+++ b/src/load/events.h
@@ -21,6 +21,7 @@
 #include <ostream>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "load/ledger.h"
@@ -55,6 +56,9 @@
   bool operator==(const Event&) const = default;
 };
 
+// How the body of a stand-in converter's answer begins; the Req-Id and a newline follow.
+inline constexpr std::string_view kMadeFor = "made for ";
+
 using OnEvent = std::function<void(const Event&)>;
 
 // The clock of events.
--- a/src/load/ledger.cpp
+++ b/src/load/ledger.cpp
@@ -2,6 +2,7 @@
 #include "load/ledger.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 
 namespace kestrelline::load {
@@ -9,6 +10,7 @@
 
 // After its end a request is still watched for so long: a second answer, or a late attempt, is a breach too.
 constexpr Microseconds kWatched = std::chrono::seconds(5);
+constexpr std::array<std::string_view, 3> kEffects{"safe", "keyed", "unsafe"};
 
 std::string Seconds(Microseconds at) {
   char text[32];
@@ -32,6 +34,14 @@
   return "";
 }
 
+std::string_view NameOf(Effect effect) { return kEffects[static_cast<std::size_t>(effect)]; }
+
+std::optional<Effect> EffectNamed(std::string_view name) {
+  const auto found = std::find(kEffects.begin(), kEffects.end(), name);
+  if (found == kEffects.end()) return std::nullopt;
+  return static_cast<Effect>(found - kEffects.begin());
+}
+
 Ledger::Request* Ledger::Find(const std::string& id) {
   const auto found = requests_.find(id);
   return found == requests_.end() ? nullptr : &found->second;
@@ -100,10 +110,8 @@
   Note(*request, at, "the client has gone");
   if (at < request->due) {
     ++verdict_.gave_up;
-  } else if (Excused(*request)) {
-    ++verdict_.excused;
   } else {
-    Break(Rule::kNoneLost, at, id, "no final answer by the client's time", request->history);
+    Lose(id, *request, at, "no final answer by the client's time");
   }
   Over(id, *request, at);
 }
@@ -112,11 +120,7 @@
   Request* request = Find(id);
   if (!request || request->over) return;
   Note(*request, at, "its connection ended without an answer");
-  if (Excused(*request)) {
-    ++verdict_.excused;
-  } else {
-    Break(Rule::kNoneLost, at, id, "the connection ended without a whole answer", request->history);
-  }
+  Lose(id, *request, at, "the connection ended without a whole answer");
   Over(id, *request, at);
 }
 
@@ -134,6 +138,14 @@
   over_.emplace_back(at + kWatched, id);
 }
 
+void Ledger::Lose(const std::string& id, const Request& request, Microseconds at, const std::string& text) {
+  if (Excused(request)) {
+    ++verdict_.excused;
+  } else {
+    Break(Rule::kNoneLost, at, id, text, request.history);
+  }
+}
+
 bool Ledger::Excused(const Request& request) const {
   if (request.excused) return true;
   const auto paused = paused_.find(request.proxy);
@@ -264,10 +276,8 @@
   for (auto& [id, request] : requests_) {
     if (request.over) continue;
     request.over = true;
-    if (Excused(request)) {
-      ++verdict_.excused;
-    } else if (at > request.due + figures_.slack) {
-      Break(Rule::kNoneLost, at, id, "no final answer", request.history);
+    if (Excused(request) || at > request.due + figures_.slack) {
+      Lose(id, request, at, "no final answer");
     } else {
       ++verdict_.gave_up;  // the run ended before its time was up
     }
--- a/src/load/ledger.h
+++ b/src/load/ledger.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +31,8 @@
 inline constexpr int kRules = 4;
 
 std::string_view NameOf(Rule rule);
+std::string_view NameOf(Effect effect);  // "safe", "keyed", "unsafe"
+std::optional<Effect> EffectNamed(std::string_view name);
 
 struct ClassRule {
   std::string name;
@@ -137,6 +140,8 @@
   void JudgeCold(const std::string& name, Server& server, double work_s, Microseconds at);
   void Sweep(Microseconds now);
   bool Excused(const Request& request) const;
+  // It has no answer: a breach, unless a fault excuses it.
+  void Lose(const std::string& id, const Request& request, Microseconds at, const std::string& text);
   void Over(const std::string& id, Request& request, Microseconds at);
 
   RuleFigures figures_;
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -5,8 +5,6 @@
 #include <cstdint>
 #include <cstdlib>
 
-#include "operator/document.h"
-
 namespace kestrelline::load {
 namespace {
 
@@ -56,7 +54,6 @@
     Key{"zipf", Kind::kNumber, "The k-th is asked for by 1 / k^zipf; 1 without it."},
 };
 
-Microseconds Us(operator_file::Milliseconds ms) { return std::chrono::duration_cast<Microseconds>(ms); }
 double Seconds(operator_file::Milliseconds ms) { return ms.count() / 1000; }
 
 void ReadRun(const TableReader& top, Plan* plan, Diagnostics* diagnostics) {
@@ -79,7 +76,7 @@
   if (const auto n = run.Whole("connections", 1, 50000))
     plan->connections = static_cast<std::size_t>(n->value);
   if (const auto n = run.Whole("retries", 0, 10)) plan->retries = static_cast<int>(n->value);
-  if (const auto pause = run.Duration("retry_pause")) plan->retry_pause = Us(pause->value);
+  if (const auto pause = run.Duration("retry_pause")) plan->retry_pause = InMicroseconds(pause->value);
   if (const auto spacing = run.Text("spacing")) {
     plan->mixture.spacing = spacing->value == "even" ? Spacing::kEven : Spacing::kPoisson;
     if (spacing->value != "even" && spacing->value != "poisson")
@@ -140,18 +137,9 @@
   PlanClass c;
   ClassShare share;
   if (const auto name = reader.Text("name")) c.name = share.name = name->value;
-  if (const auto effect = reader.Text("effect")) {
-    if (effect->value == "safe") {
-      c.effect = Effect::kSafe;
-    } else if (effect->value == "keyed") {
-      c.effect = Effect::kKeyed;
-    } else if (effect->value != "unsafe") {
-      diagnostics->Add(effect->at, "effect",
-                       "'" + effect->value + "' is no effect; accepted are safe, keyed and unsafe");
-    }
-  }
+  c.effect = ReadEffect(reader, diagnostics);
   if (const auto weight = reader.Number("weight", 0, 1e6)) share.weight = weight->value;
-  if (const auto deadline = reader.Duration("deadline")) c.deadline = Us(deadline->value);
+  if (const auto deadline = reader.Duration("deadline")) c.deadline = InMicroseconds(deadline->value);
   if (const auto n = reader.Whole("least_bytes", 0, 65536))
     share.least_bytes = static_cast<std::uint32_t>(n->value);
   share.most_bytes = share.least_bytes;
@@ -165,6 +153,20 @@
 
 }  // namespace
 
+Microseconds InMicroseconds(operator_file::Milliseconds ms) {
+  return std::chrono::duration_cast<Microseconds>(ms);
+}
+
+Effect ReadEffect(const TableReader& reader, Diagnostics* diagnostics) {
+  const auto text = reader.Text("effect");
+  if (!text) return Effect::kUnsafe;
+  const auto effect = EffectNamed(text->value);
+  if (!effect)
+    diagnostics->Add(text->at, "effect",
+                     "'" + text->value + "' is no effect; accepted are safe, keyed and unsafe");
+  return effect.value_or(Effect::kUnsafe);
+}
+
 std::optional<Plan> ReadPlan(std::string_view text, Diagnostics* diagnostics) {
   Plan plan;
   const std::vector<Section> sections{
--- a/src/load/plan.h
+++ b/src/load/plan.h
@@ -14,7 +14,7 @@
 
 #include "load/arrivals.h"
 #include "load/ledger.h"
-#include "operator/diagnostics.h"
+#include "operator/document.h"
 
 namespace kestrelline::load {
 
@@ -37,6 +37,10 @@
   Mixture mixture;  // of the same classes and tenants
 };
 
+// The key `effect` of a class, here and in a site's file: unsafe, and a message, if it is none.
+Effect ReadEffect(const operator_file::TableReader& reader, operator_file::Diagnostics* diagnostics);
+Microseconds InMicroseconds(operator_file::Milliseconds ms);
+
 // Nothing, and why in `diagnostics`, unless all of it is right.
 std::optional<Plan> ReadPlan(std::string_view text, operator_file::Diagnostics* diagnostics);
 
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -205,11 +205,11 @@
     if (!done_) return;
     const auto self = shared_from_this();
     const AttemptDone done = std::exchange(done_, nullptr);
-    request_ = {};
-    head_ = {};
-    // Where the attempt was given up, a read may be on its way, and have its bytes already: what it reads
-    // into goes with the connection.
+    // Where the attempt was given up, a write or a read may be on its way, and have its bytes already: what
+    // it uses goes with the connection.
     if (reusable_) {
+      request_ = {};
+      head_ = {};
       parser_.reset();
       buffer_.clear();
       buffer_.shrink_to_fit();  // what stands idle keeps no memory
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -30,6 +30,7 @@
 constexpr std::chrono::milliseconds kSweep{50};
 constexpr double kRoomy = 0.4;  // of the own share, up to which those that stand idle are kept
 constexpr double kShort = 0.7;  // of the own share, from which on each answer ends its connection
+constexpr std::size_t kMostDrainedAtOnce = 4096;
 constexpr const char* kText = "text/plain";
 
 }  // namespace
@@ -282,8 +283,9 @@
     Drain();
   }
   void Drain() {
-    buffer_.clear();
-    socket_.async_read_some(buffer_.prepare(4096),
+    // Not into the buffer of requests: a read of one may be on its way, and have its bytes already.
+    rest_.resize(kMostDrainedAtOnce);
+    socket_.async_read_some(asio::buffer(rest_),
                             [self = shared_from_this()](const Error& failed, std::size_t n) {
                               if (self->state_ != State::kDraining) return;
                               self->drained_ += n;
@@ -298,6 +300,7 @@
   std::optional<Parser> parser_;
   HttpResponse response_;
   RequestId request_ = 0;
+  std::vector<char> rest_;  // what is read and not looked at, once the last answer is written
   std::size_t drained_ = 0, reserved_ = 0;
   State state_ = State::kWaiting;
   Steady::time_point since_{}, until_{};  // of the state
--- a/src/standin/address.h
+++ b/src/standin/address.h
@@ -22,6 +22,12 @@
     socket_.bind({boost::asio::ip::address_v4::loopback(), 0});
   }
   Tcp::endpoint endpoint() const { return socket_.local_endpoint(); }
+  void Listen(Tcp::acceptor& acceptor) const {
+    acceptor.open(Tcp::v4());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint());
+    acceptor.listen();
+  }
   std::string text() const { return "127.0.0.1:" + std::to_string(endpoint().port()); }
 
  private:
--- a/src/standin/converter.cpp
+++ b/src/standin/converter.cpp
@@ -62,7 +62,7 @@
     if (state_ != State::kWorking) return;
     if (owner_->Hold([self = shared_from_this()] { self->Resume(&Connection::Answer); })) return;
     const SiteClass& c = *class_;
-    std::string body = "made for " + request_ + "\n";
+    std::string body = std::string(load::kMadeFor) + request_ + "\n";
     if (body.size() < c.answer_bytes) body.resize(c.answer_bytes, '.');
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + LoadReport() +
                        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
@@ -163,7 +163,6 @@
   }
 
   void Decline() {
-    ++owner_->declined_;
     Finish(false);
     Say("503 Service Unavailable", "Srv-Declined: 1\r\n" + LoadReport());
   }
@@ -294,10 +293,7 @@
   for (std::size_t i = 0; i < doors_.size(); ++i) {
     auto& acceptor = doors_[i].acceptor;
     if (acceptor.is_open()) continue;
-    acceptor.open(Tcp::v4());
-    acceptor.set_option(Tcp::acceptor::reuse_address(true));
-    acceptor.bind(doors_[i].address->endpoint());
-    acceptor.listen();
+    doors_[i].address->Listen(acceptor);
     Accept(i);
   }
 }
--- a/src/standin/converter.h
+++ b/src/standin/converter.h
@@ -66,7 +66,6 @@
   void SetRefusing(bool refusing);
   void SetVanished(bool vanished);
 
-  std::uint64_t declined() const { return declined_; }
   std::uint64_t dropped() const { return dropped_; }  // repeats
 
  private:
@@ -101,7 +100,7 @@
   boost::asio::steady_timer timer_, sweep_;
   std::mt19937_64 draw_;
   JobId last_job_ = 0;
-  std::uint64_t declined_ = 0, dropped_ = 0, life_ = 0;
+  std::uint64_t dropped_ = 0, life_ = 0;
   Microseconds body_pause_{0};
   double resets_ = 0;
   bool up_ = false, draining_ = false, stalled_ = false, vanished_ = false;
--- a/src/standin/discovery.cpp
+++ b/src/standin/discovery.cpp
@@ -60,7 +60,6 @@
     heartbeat_.cancel();
     owner_->doors_[door_].connections.erase(shared_from_this());
   }
-  bool IsWatch() const { return state_ == State::kWatch; }
 
  private:
   enum class State { kReading, kList, kWatch, kClosed };
@@ -161,11 +160,7 @@
 
 void Discovery::Listen() {
   for (std::size_t i = 0; i < doors_.size(); ++i) {
-    auto& acceptor = doors_[i].acceptor;
-    acceptor.open(Tcp::v4());
-    acceptor.set_option(Tcp::acceptor::reuse_address(true));
-    acceptor.bind(doors_[i].address->endpoint());
-    acceptor.listen();
+    doors_[i].address->Listen(doors_[i].acceptor);
     Accept(i);
   }
 }
@@ -206,14 +201,6 @@
   }
 }
 
-std::size_t Discovery::watches() const {
-  std::size_t n = 0;
-  for (const Door& door : doors_)
-    n += static_cast<std::size_t>(std::count_if(door.connections.begin(), door.connections.end(),
-                                                [](const auto& c) { return c->IsWatch(); }));
-  return n;
-}
-
 void Discovery::Told(std::size_t door, const ListMessage& message) {
   if (message.line.empty()) return;  // a heartbeat
   Door& d = doors_[door];
--- a/src/standin/discovery.h
+++ b/src/standin/discovery.h
@@ -41,7 +41,6 @@
   void Changed();           // the membership has
   void SetLate(bool late);  // says nothing new
   void SetDown(bool down);  // watches end, nobody listens
-  std::size_t watches() const;
 
  private:
   class Connection;
--- a/src/standin/faults.h
+++ b/src/standin/faults.h
@@ -21,7 +21,7 @@
     // Of converters.
     kSlow,       // its cores, by `amount`
     kStall,      // reads, writes and accepts nothing
-    kStallBody,  // every answer pauses in its middle for `lasts`... while this holds
+    kStallBody,  // every answer pauses in its middle, for `amount` ms
     kReset,      // a share `amount` of its answers ends in a reset in the middle of the body
     kRefuse,     // nobody listens, and what is open is reset
     kVanish,     // open connections fall silent, new ones never come up; all are reset when it is back
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -131,7 +131,6 @@
     amount = text;
   }
   const auto log = [&](const std::string& whom) {
-    ++faults_;
     Log(std::string(kind.name) + " " + whom + amount + ", " + Shown(fault.lasts));
   };
   if (kind.target == Target::kDiscovery) {
@@ -180,6 +179,13 @@
   membership_.Put(member);
 }
 
+// A converter that ends, and is listed as gone.
+void Fleet::Leave(std::size_t converter) {
+  converters_[converter]->Die();
+  List(converter, Listed::kGone, -1);
+  discovery_.Changed();
+}
+
 // A converter that starts, cold, and is listed once it listens.
 void Fleet::Bring(std::size_t converter, const std::string& id) {
   if (stopping_) return;
@@ -194,11 +200,6 @@
   Converter& c = *converters_[converter];
   // Each is undone by its own end, unless the converter has died meanwhile and is another one.
   const auto until = [&](auto undo) { After(fault.lasts, [&c, undo] { undo(c); }); };
-  const auto leave = [&] {
-    c.Die();
-    List(converter, Listed::kGone, -1);
-    discovery_.Changed();
-  };
   switch (fault.kind) {
     case kSlow:
       c.SetSlow(fault.amount);
@@ -226,9 +227,7 @@
       return After(fault.lasts, [this, converter, id] {
         Converter& drained = *converters_[converter];
         if (!drained.up() || drained.spec().id != id) return;
-        drained.Die();
-        List(converter, Listed::kGone, -1);
-        discovery_.Changed();
+        Leave(converter);
         Log(id + " has drained");
       });
     }
@@ -237,7 +236,7 @@
       const std::string old = c.spec().id;
       std::string id = old;
       if (fault.kind == kReplace) {
-        leave();
+        Leave(converter);
         id = old.substr(0, old.find('+')) + "+" + std::to_string(++replaced_);
       } else {
         c.Die();  // nobody has told discovery
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -50,9 +50,7 @@
   std::vector<std::string> proxy_addresses() const;  // empty without a program
   const Membership& membership() const { return membership_; }
   const std::vector<std::unique_ptr<Converter>>& converters() const { return converters_; }
-  Discovery& discovery() { return discovery_; }
   std::size_t crashes() const { return crashes_; }  // proxies that ended though nobody had asked them to
-  std::size_t faults() const { return faults_; }
 
  private:
   struct Proxy {
@@ -69,6 +67,7 @@
   void List(std::size_t converter, load::Listed state, double up_since_unix_ms);
   void ApplyTo(std::size_t converter, const Fault& fault);
   void ApplyTo(Proxy& proxy, const Fault& fault);
+  void Leave(std::size_t converter);
   void Bring(std::size_t converter, const std::string& id);
   void StartProxy(Proxy& proxy, std::function<void()> ready);
   void AwaitChildren();
@@ -87,7 +86,7 @@
   std::chrono::steady_clock::time_point start_{};
   std::unordered_map<std::uint64_t, std::shared_ptr<boost::asio::steady_timer>> timers_;
   std::uint64_t last_timer_ = 0;
-  std::size_t replaced_ = 0, crashes_ = 0, faults_ = 0;
+  std::size_t replaced_ = 0, crashes_ = 0;
   bool stopping_ = false;
 };
 
--- a/src/standin/proxy_process.h
+++ b/src/standin/proxy_process.h
@@ -23,7 +23,6 @@
     std::string config;  // a path: ROUTER_CONFIG
     std::string log;     // a path that its standard error goes to, added to
   };
-  enum class State { kDown, kStarting, kReady };
 
   ProxyProcess(boost::asio::io_context& io, Options options);
   ~ProxyProcess();  // kills it
@@ -32,7 +31,6 @@
 
   const HeldAddress& address() const { return address_; }
   const std::string& name() const { return options_.name; }
-  State state() const { return state_; }
   pid_t pid() const { return pid_; }
 
   // Throws std::runtime_error if it cannot be started. `ready`: it has answered GET /ready with 200.
@@ -43,6 +41,8 @@
   void KillAndWait();
 
  private:
+  enum class State { kDown, kStarting, kReady };
+
   void AskIfReady();
 
   boost::asio::io_context& io_;
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -9,7 +9,7 @@
 #include <numbers>
 #include <sstream>
 
-#include "operator/document.h"
+#include "load/plan.h"
 
 namespace kestrelline::standin {
 namespace {
@@ -58,8 +58,6 @@
     Key{"amount", Kind::kNumber, "What it means depends on the fault."},
 };
 
-Microseconds Us(operator_file::Milliseconds ms) { return std::chrono::duration_cast<Microseconds>(ms); }
-
 void ReadHead(const TableReader& top, SiteSpec* site, Diagnostics* diagnostics) {
   const toml::table* table = top.Table("site");
   if (!table) return;
@@ -71,9 +69,10 @@
   if (const auto zones = reader.Texts("zones"))
     for (const auto& zone : zones->value) site->zones.push_back(zone.value);
   if (const auto share = reader.Share("cold_from")) site->cold_from = share->value;
-  if (const auto time = reader.Duration("warm_up")) site->warm_up = Us(time->value);
+  if (const auto time = reader.Duration("warm_up")) site->warm_up = load::InMicroseconds(time->value);
   if (const auto n = reader.Number("fall_multiple", 1, 1000)) site->fall_multiple = n->value;
-  if (const auto time = reader.Duration("overload_for")) site->overload_for = Us(time->value);
+  if (const auto time = reader.Duration("overload_for"))
+    site->overload_for = load::InMicroseconds(time->value);
   if (const auto text = reader.Text("load_reports")) {
     site->load_reports = text->value == "on";
     if (text->value != "on" && text->value != "off")
@@ -84,20 +83,11 @@
 void ReadClass(const TableReader& reader, SiteSpec* site, Diagnostics* diagnostics) {
   SiteClass c;
   if (const auto name = reader.Text("name")) c.name = name->value;
-  if (const auto effect = reader.Text("effect")) {
-    if (effect->value == "safe") {
-      c.effect = load::Effect::kSafe;
-    } else if (effect->value == "keyed") {
-      c.effect = load::Effect::kKeyed;
-    } else if (effect->value != "unsafe") {
-      diagnostics->Add(effect->at, "effect",
-                       "'" + effect->value + "' is no effect; accepted are safe, keyed and unsafe");
-    }
-  }
+  c.effect = load::ReadEffect(reader, diagnostics);
   if (const auto work = reader.Duration("work")) c.work_s = work->value.count() / 1000;
   if (const auto spread = reader.Number("spread", 0, 3)) c.spread = spread->value;
-  if (const auto time = reader.Duration("deadline")) c.deadline = Us(time->value);
-  if (const auto time = reader.Duration("window")) c.window = Us(time->value);
+  if (const auto time = reader.Duration("deadline")) c.deadline = load::InMicroseconds(time->value);
+  if (const auto time = reader.Duration("window")) c.window = load::InMicroseconds(time->value);
   if (const auto by = reader.Text("dropped_by")) {
     c.all_drop = by->value == "all";
     if (by->value != "all" && by->value != "cell")
@@ -154,8 +144,8 @@
   }
   Fault fault;
   fault.kind = kind->kind;
-  fault.at = Us(at->value);
-  fault.lasts = Us(lasts->value);
+  fault.at = load::InMicroseconds(at->value);
+  fault.lasts = load::InMicroseconds(lasts->value);
   const auto who = reader.Text("who");
   if (who) fault.who = who->value;
   if (who.has_value() == (kind->target == Target::kDiscovery))
--- a/tests/standin/rogue_proxy_test.cpp
+++ b/tests/standin/rogue_proxy_test.cpp
@@ -157,8 +157,6 @@
   if (run.deadline >= Ms(10000)) figures.slack = Ms(10000);  // of a slow machine, which is not the matter
   if (run.sin == Sin::kIgnoresDrains) figures.slack = Ms(0);
   std::stringstream clients, sites;
-  load::EventWriter(clients).Close();
-  clients.str("");
   {
     load::EventWriter a(clients), b(sites, &figures);
     for (const Event& event : events) a.Add(event);
--- a/tests/support/running_fleet.h
+++ b/tests/support/running_fleet.h
@@ -14,6 +14,7 @@
 
 #include "standin/fleet.h"
 #include "support/client.h"
+#include "support/small_site.h"
 #include "support/sockets.h"
 
 namespace kestrelline::testing {
@@ -21,31 +22,6 @@
 using namespace brackenspoke::testing;
 using load::Event;
 
-inline load::Microseconds Ms(std::int64_t ms) { return load::Microseconds(ms * 1000); }
-
-inline constexpr const char* kLook = "look";
-
-// Two converters of one core, in cells 0 and 1; three classes without spread; one proxy.
-inline standin::SiteSpec SmallSite() {
-  standin::SiteSpec site;
-  site.proxies = 1;
-  site.zones = {"a"};
-  for (const auto& [name, effect] : {std::pair{"look", load::Effect::kSafe},
-                                     {"change", load::Effect::kKeyed},
-                                     {"book", load::Effect::kUnsafe}}) {
-    standin::SiteClass c;
-    c.name = name, c.effect = effect, c.work_s = 0.001, c.spread = 0, c.deadline = Ms(60000);
-    c.answer_bytes = 1000;
-    site.classes.push_back(c);
-  }
-  for (int i = 0; i < 2; ++i) {
-    standin::ConverterSpec c;
-    c.id = "s-0" + std::to_string(i), c.zone = "a", c.kind = "m", c.cell = i, c.cores = 1;
-    site.converters.push_back(c);
-  }
-  return site;
-}
-
 class RunningFleet {
  public:
   explicit RunningFleet(standin::SiteSpec site = SmallSite(), std::string program = "",
