--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -129,7 +129,8 @@
   std::uint64_t key = 0;  // 0: none
   bool has_hint = false;
   bool client_retry = false;
-  double work_ms = 0;                         // hinted work on a standard core
+  bool withheld = false;  // what must be known before it may be sent is not: it is refused, and never runs
+  double work_ms = 0;     // hinted work on a standard core
   std::shared_ptr<const RouteLimits> limits;  // null: none but those of the settings
 };
 struct StreamStarted {
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <map>
 
+#include "app/plugins.h"
 #include "operator/values.h"
 #include "routing/limits.h"
 
@@ -51,7 +52,10 @@
   if (!route.any_class) add("class=" + Joined(route.classes, config.site.classes));
   if (!route.any_tenant) add("tenant=" + Joined(route.tenants, config.site.tenants));
   if (route.depth > 0) add("path=" + route.prefix);
-  for (const Route::Header& h : route.headers) add(config.routes->header_names()[h.name] + '=' + h.value);
+  for (const Route::Header& h : route.headers) {
+    const std::string& name = config.routes->header_names()[h.name];
+    add((name == routing::kTagName ? "tag" : name) + '=' + h.value);
+  }
   if (!route.zones.empty()) add("zone=" + Joined(route.zones, config.site.zones));
   return text.empty() ? "any" : text;
 }
@@ -143,6 +147,8 @@
   Command command;
   CLI::App app{"A load-balancing proxy. Without a subcommand it serves, as ROUTER_CONFIG says."};
   app.add_option("--operator", command.operator_file, "The operator's file: routes and their limits");
+  app.add_option("--plugin-worker", command.plugin_worker,
+                 "The program that plug-ins run in; kestrelline-plugin-worker beside this one without it");
   app.require_subcommand(0, 1);
 
   auto* check = app.add_subcommand("check", "Checks an operator's file and prints its routes");
@@ -166,6 +172,7 @@
     command.exit_code = app.exit(error, std::cout, std::cerr) == 0 ? 0 : 2;
     return command;
   }
+  if (command.plugin_worker.empty()) command.plugin_worker = DefaultPluginWorker();
   if (check->parsed()) command.what = Command::What::kCheck;
   if (explain->parsed()) command.what = Command::What::kExplain;
   return command;
@@ -180,6 +187,10 @@
     Print(diagnostics, err);
     return 1;
   }
+  if (!TryPlugins(*config, command.plugin_worker, &diagnostics)) {
+    Print(diagnostics, err);
+    return 1;
+  }
   const auto& routes = config->routes->routes();
   std::vector<std::array<std::string, 4>> rows{{"line", "route", "matches", "limits"}};
   for (const Route& route : routes) {
@@ -202,7 +213,10 @@
     out << row.back() << '\n';
   }
   out << routes.size() << (routes.size() == 1 ? " route" : " routes") << ", "
-      << config->routes->combinations() << " look-ups at most for a request: accepted\n";
+      << config->routes->combinations() << " look-ups at most for a request";
+  if (const auto n = config->plugins->plugins().size(); n > 0)
+    out << ", " << n << (n == 1 ? " plug-in" : " plug-ins");
+  out << ": accepted\n";
   return 0;
 }
 
--- a/src/app/cli.h
+++ b/src/app/cli.h
@@ -22,6 +22,7 @@
   What what = What::kServe;
   int exit_code = 0;          // of kExit: help was asked for, or the arguments are wrong
   std::string operator_file;  // empty: none
+  std::string plugin_worker;  // the program that plug-ins run in; beside this one unless given
   std::string config_file;
   std::string request_class, tenant, path;
   std::vector<std::string> headers;  // "Name=value"
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,10 +8,13 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include "app/cli.h"
 #include "app/operator_config.h"
+#include "app/plugins.h"
 #include "config.h"
 #include "proxy.h"
 
@@ -31,54 +34,100 @@
 
 const char* Environment(const char* name) { return std::getenv(name); }
 
-using Routes = std::shared_ptr<const kestrelline::routing::RouteTable>;
+namespace app = kestrelline::app;
+namespace plugin = kestrelline::plugin;
 
-// Of the operator's file, for a platform as it is in force. False if it is refused, which is logged.
-bool LoadRoutes(const std::string& file, const brackenspoke::proxy::Config& platform, Routes* routes) {
-  if (file.empty()) return true;
-  kestrelline::operator_file::Diagnostics diagnostics(file);
-  const auto loaded =
-      kestrelline::app::LoadOperatorFile(file, platform, kestrelline::app::Keep::kOutcome, &diagnostics);
+void Say(const kestrelline::operator_file::Diagnostics& diagnostics) {
   for (const std::string& line : diagnostics.Lines()) std::fprintf(stderr, "%s\n", line.c_str());
-  if (loaded) *routes = loaded->routes;
-  return loaded.has_value();
 }
 
-// Both files are taken over, or neither.
-void ReloadAtSignal(boost::asio::signal_set& signals, brackenspoke::proxy::Proxy& proxy,
-                    const std::string& operator_file) {
-  signals.async_wait([&](const boost::system::error_code& failed, int) {
-    if (failed) return;
-    ReloadAtSignal(signals, proxy, operator_file);
-    try {
-      const auto config = brackenspoke::proxy::ReloadConfig(Environment);
-      Routes routes;
-      if (!LoadRoutes(operator_file, proxy.config(), &routes))
-        throw brackenspoke::proxy::BadConfig("the operator's file is refused");
-      proxy.Reload(config);
-      if (routes)
-        std::fprintf(stderr, "kestrelline: %s: %zu routes hold from now on\n", operator_file.c_str(),
-                     routes->routes().size());
-      proxy.SetRoutes(std::move(routes));
-    } catch (const brackenspoke::proxy::BadConfig& error) {
-      std::fprintf(stderr, "kestrelline: the old configuration stays: %s\n", error.what());
-    }
-  });
-}
+// What SIGHUP does: both files and all plug-ins are taken over, or none of them.
+class Reloads {
+ public:
+  Reloads(boost::asio::io_context& io, brackenspoke::proxy::Proxy& proxy, plugin::Host& host,
+          std::string file)
+      : signals_(io, SIGHUP), proxy_(proxy), host_(host), file_(std::move(file)) {
+    Await();
+  }
+
+ private:
+  void Await() {
+    signals_.async_wait([this](const boost::system::error_code& failed, int) {
+      if (failed) return;
+      Await();
+      try {
+        Begin(brackenspoke::proxy::ReloadConfig(Environment));
+      } catch (const brackenspoke::proxy::BadConfig& error) {
+        OldOneStays(error.what());
+      }
+    });
+  }
+
+  void Begin(const brackenspoke::proxy::Config& config) {
+    if (file_.empty()) return proxy_.Reload(config);
+    kestrelline::operator_file::Diagnostics diagnostics(file_);
+    const auto loaded = app::LoadOperatorFile(file_, proxy_.config(), app::Keep::kOutcome, &diagnostics);
+    Say(diagnostics);
+    if (!loaded) return OldOneStays("the operator's file is refused");
+    if (loaded->plugins->plugins().empty()) return TakeOver(config, *loaded, nullptr);
+    // Meanwhile the old one serves. A reload that comes before this one is done takes its place.
+    host_.Load(loaded->plugins, [this, config, loaded = *loaded](auto tagger, const auto& problems) {
+      kestrelline::operator_file::Diagnostics found(file_);
+      app::Report(problems, &found);
+      Say(found);
+      if (!tagger) return OldOneStays("the operator's file is refused");
+      TakeOver(config, loaded, std::move(tagger));
+    });
+  }
+
+  void TakeOver(const brackenspoke::proxy::Config& config, const app::OperatorConfig& loaded,
+                std::shared_ptr<plugin::Tagger> tagger) {
+    proxy_.Reload(config);
+    proxy_.SetRoutes(loaded.routes, std::move(tagger));
+    const std::size_t plugins = loaded.plugins->plugins().size();
+    std::fprintf(stderr, "kestrelline: %s: %zu routes%s hold from now on\n", file_.c_str(),
+                 loaded.routes->routes().size(),
+                 plugins > 0 ? (" and " + std::to_string(plugins) + " plug-ins").c_str() : "");
+  }
 
-int Serve(const std::string& operator_file) {
+  static void OldOneStays(const char* why) {
+    std::fprintf(stderr, "kestrelline: the old configuration stays: %s\n", why);
+  }
+
+  boost::asio::signal_set signals_;
+  brackenspoke::proxy::Proxy& proxy_;
+  plugin::Host& host_;
+  std::string file_;
+};
+
+int Serve(const app::Command& command) {
   try {
     boost::asio::io_context io(1);
     // Caught from before the proxy listens: one that is ready must not die of a signal.
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT), held(io, SIGHUP);
     auto config = brackenspoke::proxy::LoadConfig(Environment);
-    Routes routes;
-    if (!LoadRoutes(operator_file, config, &routes)) return 1;
-    brackenspoke::proxy::Proxy proxy(io, std::move(config), std::move(routes));
+    plugin::Host host(io, {command.plugin_worker, [](const std::string& line) {
+                             std::fprintf(stderr, "kestrelline: %s\n", line.c_str());
+                           }});
+    brackenspoke::proxy::Proxy::Routes routes;
+    std::shared_ptr<plugin::Tagger> tagger;
+    if (!command.operator_file.empty()) {
+      kestrelline::operator_file::Diagnostics diagnostics(command.operator_file);
+      const auto loaded =
+          app::LoadOperatorFile(command.operator_file, config, app::Keep::kOutcome, &diagnostics);
+      if (loaded && !loaded->plugins->plugins().empty()) {
+        tagger = app::LoadAndWait(io, host, *loaded, &diagnostics);
+        config.sockets -= static_cast<int>(loaded->plugins->plugins().size() * plugin::kDescriptorsEach);
+      }
+      Say(diagnostics);
+      if (!diagnostics.ok()) return 1;
+      routes = loaded->routes;
+    }
+    brackenspoke::proxy::Proxy proxy(io, std::move(config), std::move(routes), std::move(tagger));
     ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
     });
-    ReloadAtSignal(reloads, proxy, operator_file);
+    const Reloads reloads(io, proxy, host, command.operator_file);
     Run(io);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "kestrelline: %s\n", error.what());
@@ -95,7 +144,7 @@
   const Command command = kestrelline::app::ParseArguments(argc, argv);
   switch (command.what) {
     case Command::What::kServe:
-      return Serve(command.operator_file);
+      return Serve(command);
     case Command::What::kCheck:
       return kestrelline::app::Check(command, std::cout, std::cerr);
     case Command::What::kExplain:
--- a/src/app/operator_config.cpp
+++ b/src/app/operator_config.cpp
@@ -1,11 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "app/operator_config.h"
 
+#include <filesystem>
 #include <utility>
 #include <vector>
 
 #include "operator/document.h"
 #include "operator/read_file.h"
+#include "plugin/wire.h"
 #include "routing/section.h"
 
 namespace kestrelline::app {
@@ -14,12 +16,22 @@
 using operator_file::Section;
 
 // The one table of sections.
-std::vector<Section> AllSections(routing::Spec* routes) {
+std::vector<Section> AllSections(routing::Spec* routes, plugin::Spec* plugins) {
   std::vector<Section> all;
   for (auto& section : routing::Sections(routes)) all.push_back(std::move(section));
+  all.push_back(plugin::PluginSection(plugins));
   return all;
 }
 
+// A script, by a path that is taken from the folder of the operator's file.
+std::optional<std::string> ReadScript(const std::string& folder, const std::string& file, std::string* why) {
+  operator_file::Diagnostics diagnostics(file);
+  auto text = operator_file::ReadWhole((std::filesystem::path(folder) / file).string(),
+                                       plugin::wire::kMostSource, &diagnostics);
+  if (!diagnostics.ok()) *why = diagnostics.messages().begin()->text;
+  return text;
+}
+
 }  // namespace
 
 routing::Site SiteOf(const brackenspoke::proxy::Config& platform) {
@@ -28,13 +40,22 @@
 
 std::optional<OperatorConfig> ParseOperatorFile(std::string_view text,
                                                 const brackenspoke::proxy::Config& platform, Keep keep,
-                                                operator_file::Diagnostics* diagnostics) {
+                                                operator_file::Diagnostics* diagnostics,
+                                                const std::string& folder) {
   OperatorConfig config;
+  plugin::Spec plugins;
   config.site = SiteOf(platform);
-  operator_file::ReadDocument(text, AllSections(&config.spec), diagnostics);
+  operator_file::ReadDocument(text, AllSections(&config.spec, &plugins), diagnostics);
   // What could be read is judged too, so that one run tells of everything; what could not is not guessed at.
   config.routes = routing::RouteTable::Build(config.spec, config.site, diagnostics);
-  if (!diagnostics->ok() || !config.routes) return std::nullopt;
+  if (config.routes) {
+    const auto read = [&](const std::string& file, std::string* why) {
+      return ReadScript(folder, file, why);
+    };
+    config.plugins = plugin::PluginTable::Build(
+        plugins, {*config.routes, config.site, platform.memory_mb, read}, diagnostics);
+  }
+  if (!diagnostics->ok() || !config.routes || !config.plugins) return std::nullopt;
   if (keep == Keep::kOutcome) config.spec = {};
   return config;
 }
@@ -44,7 +65,8 @@
                                                operator_file::Diagnostics* diagnostics) {
   const auto text =
       operator_file::ReadWhole(path, operator_file::MostFileBytes(platform.memory_mb), diagnostics);
-  return text ? ParseOperatorFile(*text, platform, keep, diagnostics) : std::nullopt;
+  const auto folder = std::filesystem::path(path).parent_path();
+  return text ? ParseOperatorFile(*text, platform, keep, diagnostics, folder.string()) : std::nullopt;
 }
 
 }  // namespace kestrelline::app
--- a/src/app/operator_config.h
+++ b/src/app/operator_config.h
@@ -13,6 +13,7 @@
 
 #include "config.h"
 #include "operator/diagnostics.h"
+#include "plugin/section.h"
 #include "routing/spec.h"
 #include "routing/table.h"
 
@@ -20,6 +21,7 @@
 
 struct OperatorConfig {
   std::shared_ptr<const routing::RouteTable> routes;
+  std::shared_ptr<const plugin::PluginTable> plugins;  // checked as far as can be told without running them
   routing::Spec spec;  // as worded, for those who explain it; empty unless kept
   routing::Site site;
 };
@@ -29,9 +31,11 @@
 routing::Site SiteOf(const brackenspoke::proxy::Config& platform);
 
 // Nothing, and every reason in `diagnostics`, unless all of it is right.
+// `folder`: where the files that it names are looked for.
 std::optional<OperatorConfig> ParseOperatorFile(std::string_view text,
                                                 const brackenspoke::proxy::Config& platform, Keep keep,
-                                                operator_file::Diagnostics* diagnostics);
+                                                operator_file::Diagnostics* diagnostics,
+                                                const std::string& folder = ".");
 std::optional<OperatorConfig> LoadOperatorFile(const std::string& path,
                                                const brackenspoke::proxy::Config& platform, Keep keep,
                                                operator_file::Diagnostics* diagnostics);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -684,6 +684,10 @@
 
   void On(const Submit& e) {
     if (requests_.count(e.request)) return;
+    if (e.withheld) {  // before anything is learned of it: it is no part of the load
+      out_->push_back(Refuse{e.request, settings_.max_retry_after});
+      return;
+    }
     Request r;
     r.id = e.request;
     r.due = e.due;
--- /dev/null
+++ b/src/plugin/section.cpp
@@ -0,0 +1,273 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "plugin/section.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+
+#include "plugin/wire.h"
+
+namespace kestrelline::plugin {
+namespace {
+
+using brackenspoke::ClassSettings;
+using operator_file::Diagnostics;
+using operator_file::Key;
+using operator_file::Kind;
+using operator_file::Position;
+using operator_file::TableReader;
+
+constexpr std::array kPluginKeys{
+    Key{"name", Kind::kText, "The name of the plug-in: each once.", true},
+    Key{"file", Kind::kText, "Its script, from the folder of this file.", true},
+    Key{"routes", Kind::kTexts, "The routes whose requests it reads; without it, every request."},
+    Key{"sets", Kind::kTexts, "The tags that it may set: class, tenant, key, route, cost.", true},
+    Key{"classes", Kind::kTexts, "The classes that it may set."},
+    Key{"on_failure", Kind::kText,
+        "What becomes of a request when it fails: refuse, or pass without its tags; refuse without it."},
+    Key{"on_failure_of", Kind::kTable, "The same for some classes: CLASS = \"pass\" or \"refuse\"."},
+    Key{"wall", Kind::kDuration, "The longest that a request waits for its tags: 4ms, and 5ms at most."},
+    Key{"fuel", Kind::kWhole, "The most instructions of one call: 200000."},
+    Key{"memory_kb", Kind::kWhole, "The most memory that the script holds: 4096."},
+    Key{"output", Kind::kWhole, "The most bytes that one call returns: 1024."},
+    Key{"load", Kind::kDuration, "The longest that it takes to be ready: 1s."},
+    Key{"faults", Kind::kWhole, "So many faults within `within` take it out: 5."},
+    Key{"within", Kind::kDuration, "10s without it."},
+    Key{"retry_first", Kind::kDuration, "How long it is out the first time: 1s; doubled at each next."},
+    Key{"retry_most", Kind::kDuration, "The longest that it is out at a time: 60s."},
+};
+constexpr std::array kTables{routing::DescribedTable{"plugin", kPluginKeys}};
+
+constexpr std::array<std::string_view, 5> kTagWords{"class", "tenant", "key", "route", "cost"};
+constexpr std::array<std::string_view, 2> kFailureWords{"pass", "refuse"};
+
+bool IsFailureWord(std::string_view word) {
+  return std::find(kFailureWords.begin(), kFailureWords.end(), word) != kFailureWords.end();
+}
+
+void ReadPlugin(const toml::table& table, Position at, Spec* spec, Diagnostics* diagnostics) {
+  const TableReader reader(table, "plugin", kPluginKeys, diagnostics);
+  PluginSpec plugin;
+  if (auto name = reader.Text("name")) plugin.name = std::move(*name);
+  plugin.name.at = at;
+  if (auto file = reader.Text("file")) plugin.file = std::move(*file);
+  plugin.routes = reader.Texts("routes");
+  plugin.sets = reader.Texts("sets");
+  plugin.classes = reader.Texts("classes");
+  plugin.on_failure_at = reader.at("on_failure");
+  if (const auto word = reader.Text("on_failure")) plugin.on_failure = word->value;
+  reader.Pairs("on_failure_of",
+               [&](const auto& name, const auto& value) { plugin.on_failure_of.emplace_back(name, value); });
+
+  Budgets& b = plugin.supervision.budgets;
+  if (const auto wall = reader.Duration("wall")) {
+    b.wall = wall->value;
+    if (b.wall > kMostWall || b.wall < Duration(0.5))
+      diagnostics->Add(
+          wall->at, "plugin-wall",
+          "a plug-in that holds requests for " + operator_file::Shown(b.wall) + "; 0.5ms to 5ms is accepted");
+  }
+  if (const auto fuel = reader.Whole("fuel", 1000, 100'000'000))
+    b.fuel = static_cast<std::uint64_t>(fuel->value);
+  if (const auto memory = reader.Whole("memory_kb", 256, 65536))
+    b.memory = static_cast<std::size_t>(memory->value) * 1024;
+  if (const auto output = reader.Whole("output", 16, 4096))
+    b.output = static_cast<std::size_t>(output->value);
+  if (const auto load = reader.Duration("load")) b.load = load->value;
+  Supervision& s = plugin.supervision;
+  if (const auto faults = reader.Whole("faults", 1, 100)) s.faults = static_cast<int>(faults->value);
+  if (const auto within = reader.Duration("within")) s.within = within->value;
+  if (const auto first = reader.Duration("retry_first")) s.retry_first = first->value;
+  if (const auto most = reader.Duration("retry_most")) s.retry_most = most->value;
+  if (s.retry_most < s.retry_first)
+    diagnostics->Add(reader.at("retry_most"), "range",
+                     "retry_most, " + operator_file::Shown(s.retry_most) + ", is under retry_first, " +
+                         operator_file::Shown(s.retry_first));
+  spec->plugins.push_back(std::move(plugin));
+}
+
+class Builder {
+ public:
+  Builder(const PluginTable::Around& around, Diagnostics* diagnostics)
+      : around_(around), diagnostics_(diagnostics) {
+    for (const auto& name : around.site.classes) class_names_.push_back(name);
+    for (const auto& route : around.routes.routes()) route_names_.push_back(route.name);
+  }
+
+  Plugin Resolve(const PluginSpec& spec) {
+    Plugin plugin;
+    plugin.name = spec.name.value;
+    plugin.at = spec.name.at;
+    plugin.supervision = spec.supervision;
+    std::string why;
+    if (auto source = around_.read(spec.file.value, &why)) {
+      plugin.source = std::move(*source);
+    } else {
+      Bad(spec.file.at, "plugin-file", "'" + spec.file.value + "' cannot be taken: " + why);
+    }
+    ResolveTags(spec, &plugin.grants);
+    ResolveFailure(spec, &plugin.grants);
+    return plugin;
+  }
+
+  // The routes that it reads, as indices; all of them and kNone if it names none.
+  std::vector<std::uint32_t> RoutesOf(const PluginSpec& spec) {
+    std::vector<std::uint32_t> all;
+    if (!spec.routes) {
+      for (std::uint32_t i = 0; i < route_names_.size(); ++i) all.push_back(i);
+      all.push_back(routing::RouteTable::kNone);
+      return all;
+    }
+    for (const auto& name : spec.routes->value) {
+      const auto found = std::find(route_names_.begin(), route_names_.end(), name.value);
+      if (found == route_names_.end()) {
+        Bad(name.at, "unknown-route",
+            "the file has no route '" + name.value + "'; " + diagnostics_->Suggest(name.value, route_names_));
+        continue;
+      }
+      const auto index = static_cast<std::uint32_t>(found - route_names_.begin());
+      if (std::find(all.begin(), all.end(), index) == all.end()) all.push_back(index);
+    }
+    if (spec.routes->value.empty()) Bad(spec.routes->at, "empty", "a plug-in of no route; leave it out");
+    return all;
+  }
+
+  void Bad(Position at, std::string_view rule, const std::string& text) { diagnostics_->Add(at, rule, text); }
+
+ private:
+  int ClassOf(const operator_file::At<std::string>& name) {
+    const auto& classes = around_.site.classes;
+    const auto found = std::find(classes.begin(), classes.end(), name.value);
+    if (found != classes.end()) return static_cast<int>(found - classes.begin());
+    Bad(name.at, "unknown-class",
+        "the platform has no class '" + name.value + "'; " + diagnostics_->Suggest(name.value, class_names_));
+    return -1;
+  }
+
+  const ClassSettings& Of(int request_class) const {
+    return around_.site.settings.classes[static_cast<std::size_t>(request_class)];
+  }
+
+  void ResolveTags(const PluginSpec& spec, Grants* grants) {
+    if (!spec.sets) return;
+    bool sets_class = false;
+    for (const auto& word : spec.sets->value) {
+      const auto found = std::find(kTagWords.begin(), kTagWords.end(), word.value);
+      if (found == kTagWords.end()) {
+        Bad(word.at, "plugin-tag",
+            "no tag '" + word.value + "'; " +
+                diagnostics_->Suggest(word.value, {kTagWords.begin(), kTagWords.end()}));
+        continue;
+      }
+      sets_class |= word.value == "class";
+      grants->tenant |= word.value == "tenant";
+      grants->key |= word.value == "key";
+      grants->route |= word.value == "route";
+      grants->cost |= word.value == "cost";
+    }
+    if (spec.sets->value.empty()) Bad(spec.sets->at, "empty", "a plug-in that may set nothing");
+    if (grants->tenant && around_.site.tenants.empty())
+      Bad(spec.sets->at, "plugin-tag", "the platform has no tenants: 'tenant' could never be set");
+    if (sets_class != spec.classes.has_value())
+      Bad(spec.sets->at, "plugin-class",
+          sets_class ? "'class' needs the classes that it may set: classes = [...]"
+                     : "classes are named, but 'class' is not among the tags that it sets");
+    if (!spec.classes) return;
+    for (const auto& name : spec.classes->value) {
+      const int to = ClassOf(name);
+      if (to < 0) continue;
+      const auto& all = around_.site.settings.classes;
+      bool useful = false;
+      for (std::size_t from = 0; from < all.size(); ++from)
+        useful |= static_cast<int>(from) != to && Narrows(all[from], Of(to));
+      if (!useful)
+        Bad(name.at, "plugin-class",
+            "no request may be made one of '" + name.value + "': that would widen what may be done twice");
+      grants->classes.push_back(to);
+    }
+    std::sort(grants->classes.begin(), grants->classes.end());
+  }
+
+  // Where a plug-in may narrow an effect, a request that goes on without its tags would have the wider one.
+  void ResolveFailure(const PluginSpec& spec, Grants* grants) {
+    const std::size_t classes = around_.site.classes.size();
+    if (!IsFailureWord(spec.on_failure))
+      Bad(spec.on_failure_at, "plugin-failure",
+          "'" + spec.on_failure + "' is no way to fail; accepted are pass and refuse");
+    grants->refuse_on_failure.assign(classes, spec.on_failure != "pass");
+    std::vector<Position> said(classes, spec.on_failure_at);
+    for (const auto& [name, value] : spec.on_failure_of) {
+      const int c = ClassOf(name);
+      if (!IsFailureWord(value.value))
+        Bad(value.at, "plugin-failure",
+            "'" + value.value + "' is no way to fail; accepted are pass and refuse");
+      if (c < 0) continue;
+      grants->refuse_on_failure[static_cast<std::size_t>(c)] = value.value != "pass";
+      said[static_cast<std::size_t>(c)] = value.at;
+    }
+    for (std::size_t c = 0; c < classes; ++c) {
+      if (grants->refuse_on_failure[c]) continue;
+      for (const int to : grants->classes) {
+        const ClassSettings& from = around_.site.settings.classes[c];
+        if (!Narrows(from, Of(to)) || Narrows(Of(to), from)) continue;
+        Bad(said[c], "plugin-effect",
+            "a request of '" + around_.site.classes[c] + "' that passes without its tag '" +
+                around_.site.classes[static_cast<std::size_t>(to)] +
+                "' might run twice; accepted is on_failure = \"refuse\" for it");
+        break;
+      }
+    }
+  }
+
+  const PluginTable::Around& around_;
+  Diagnostics* diagnostics_;
+  std::vector<std::string_view> class_names_, route_names_;
+};
+
+}  // namespace
+
+std::span<const routing::DescribedTable> DescribedPluginTables() { return kTables; }
+
+operator_file::Section PluginSection(Spec* spec) {
+  return {{"plugin", Kind::kTables, "Plug-ins, in the order in which their tags are heard: [[plugin]]."},
+          [spec](const TableReader& top, Diagnostics* diagnostics) {
+            top.Tables("plugin", [&](const toml::table& table, Position at) {
+              ReadPlugin(table, at, spec, diagnostics);
+            });
+          }};
+}
+
+std::shared_ptr<const PluginTable> PluginTable::Build(const Spec& spec, const Around& around,
+                                                      Diagnostics* diagnostics) {
+  const auto table = std::make_shared<PluginTable>();
+  table->site_ = around.site;
+  table->by_route_.resize(around.routes.routes().size());
+  Builder builder(around, diagnostics);
+  if (spec.plugins.size() > kMostPlugins) {
+    builder.Bad(
+        spec.plugins[kMostPlugins].name.at, "bound",
+        std::to_string(spec.plugins.size()) + " plug-ins; " + std::to_string(kMostPlugins) + " are accepted");
+    return nullptr;
+  }
+  std::set<std::string_view> names;
+  double bytes = 0;
+  for (const PluginSpec& worded : spec.plugins) {
+    if (!names.insert(worded.name.value).second)
+      builder.Bad(worded.name.at, "duplicate", "plug-in '" + worded.name.value + "' is named twice");
+    const auto number = static_cast<std::uint32_t>(table->plugins_.size());
+    table->plugins_.push_back(builder.Resolve(worded));
+    for (const std::uint32_t route : builder.RoutesOf(worded))
+      (route == routing::RouteTable::kNone ? table->of_no_route_ : table->by_route_[route]).push_back(number);
+    bytes += static_cast<double>(worded.supervision.budgets.memory + kWorkerBytes);
+    if (2 * bytes > around.memory_mb * kMemoryShare * 1024 * 1024)
+      builder.Bad(worded.name.at, "plugin-memory",
+                  "with '" + worded.name.value + "' the plug-ins may take " +
+                      std::to_string(static_cast<int>(2 * bytes / 1024 / 1024)) +
+                      " MB, two versions of each side by side; half of the proxy's " +
+                      std::to_string(static_cast<int>(around.memory_mb)) + " MB is accepted");
+  }
+  return diagnostics->ok() ? table : nullptr;
+}
+
+}  // namespace kestrelline::plugin
--- /dev/null
+++ b/src/plugin/tagging.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "plugin/tagging.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kestrelline::plugin {
+namespace {
+
+using brackenspoke::ClassSettings;
+using brackenspoke::Effect;
+using brackenspoke::Group;
+
+std::optional<int> IndexOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  if (found == names.end()) return std::nullopt;
+  return static_cast<int>(found - names.begin());
+}
+
+bool GoodText(const std::optional<std::string>& text) {
+  return !text ||
+         (!text->empty() && text->size() <= kMostTagBytes &&
+          std::none_of(text->begin(), text->end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; }));
+}
+
+}  // namespace
+
+bool Narrows(const ClassSettings& from, const ClassSettings& to) {
+  if (from.effect == Effect::kSafe || to.effect == Effect::kUnsafe) return true;
+  if (from.effect == Effect::kUnsafe || to.effect == Effect::kSafe) return false;
+  // A zone may hold parts of a cell: of two groups that differ, only 'all' is known to hold the other.
+  return (from.group == Group::kAll || from.group == to.group) && to.window <= from.window;
+}
+
+Tagging::Tagging(const routing::Site& site, int request_class, std::vector<const Grants*> grants)
+    : site_(site), request_class_(request_class), missing_(grants.size()) {
+  slots_.reserve(grants.size());
+  for (const Grants* g : grants) {
+    slots_.emplace_back();
+    slots_.back().grants = g;
+  }
+}
+
+bool Tagging::Allowed(Slot* slot) const {
+  const Grants& may = *slot->grants;
+  const Tags& tags = slot->tags;
+  if ((tags.tenant && !may.tenant) || (tags.key && !may.key) || (tags.route && !may.route) ||
+      (tags.cost_ms && !may.cost))
+    return false;
+  if (!GoodText(tags.key) || !GoodText(tags.route)) return false;
+  if (tags.cost_ms && !(std::isfinite(*tags.cost_ms) && *tags.cost_ms >= 0 && *tags.cost_ms <= kMostCostMs))
+    return false;
+  if (tags.tenant) {
+    slot->tenant = IndexOf(site_.tenants, *tags.tenant);
+    if (!slot->tenant) return false;
+  }
+  if (tags.request_class) {
+    slot->request_class = IndexOf(site_.classes, *tags.request_class);
+    if (!slot->request_class) return false;
+    const int to = *slot->request_class;
+    if (to != request_class_ && !std::binary_search(may.classes.begin(), may.classes.end(), to)) return false;
+    const auto& classes = site_.settings.classes;
+    if (!Narrows(classes[static_cast<std::size_t>(request_class_)], classes[static_cast<std::size_t>(to)]))
+      return false;
+  }
+  return true;
+}
+
+Fault Tagging::Take(std::size_t number, const Outcome& outcome) {
+  Slot& slot = slots_[number];
+  if (slot.taken) return slot.fault;
+  slot.taken = true;
+  --missing_;
+  slot.fault = outcome.fault;
+  if (slot.fault != Fault::kNone) return slot.fault;
+  slot.tags = outcome.tags;
+  if (!Allowed(&slot)) slot.fault = Fault::kForbidden;
+  return slot.fault;
+}
+
+Verdict Tagging::Decide() const {
+  Verdict verdict;
+  const auto& classes = site_.settings.classes;
+  const auto of = [&](int c) -> const ClassSettings& { return classes[static_cast<std::size_t>(c)]; };
+  for (const Slot& slot : slots_) {
+    if (slot.fault != Fault::kNone) {
+      verdict.refuse |= slot.grants->refuse_on_failure[static_cast<std::size_t>(request_class_)];
+      continue;
+    }
+    if (const auto to = slot.request_class) {
+      // The first to speak holds unless a later one is narrower; two of which neither is, are both obeyed by
+      // nobody: the request does not go out.
+      if (!verdict.request_class || !Narrows(of(*to), of(*verdict.request_class))) {
+        if (verdict.request_class && !Narrows(of(*verdict.request_class), of(*to))) verdict.refuse = true;
+        verdict.request_class = to;
+      }
+    }
+    if (!verdict.tenant) verdict.tenant = slot.tenant;
+    if (!verdict.key) verdict.key = slot.tags.key;
+    if (!verdict.cost_ms) verdict.cost_ms = slot.tags.cost_ms;
+    if (verdict.route_tag.empty() && slot.tags.route) verdict.route_tag = *slot.tags.route;
+  }
+  return verdict;
+}
+
+}  // namespace kestrelline::plugin
--- /dev/null
+++ b/src/plugin/worker/main.cpp
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// kestrelline-plugin-worker: started by the daemon only, with a socket of its own.
+#include <sys/socket.h>
+
+#include <cstdio>
+
+#include "plugin/worker/run.h"
+
+int main() {
+  int type = 0;
+  socklen_t size = sizeof type;
+  if (getsockopt(kestrelline::plugin::kWorkerSocket, SOL_SOCKET, SO_TYPE, &type, &size) != 0 ||
+      type != SOCK_SEQPACKET) {
+    std::fprintf(stderr, "kestrelline-plugin-worker: started by kestrelline, not by hand\n");
+    return 2;
+  }
+  return kestrelline::plugin::RunWorker(kestrelline::plugin::kWorkerSocket);
+}
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -33,31 +33,66 @@
   return options;
 }
 
+// An empty value is one too: its data is never null.
+std::string_view View(boost::beast::string_view text) {
+  return text.empty() ? std::string_view("") : std::string_view(text.data(), text.size());
+}
+
 // A header that is given twice has no one value.
 class RoutedRequest : public kestrelline::routing::RequestView {
  public:
-  explicit RoutedRequest(const ClientRequest& request) : request_(request) {}
-  int request_class() const override { return request_.request_class; }
-  int tenant() const override { return request_.tenant; }
-  std::string_view target() const override { return View(request_.message.target()); }
+  RoutedRequest(const HttpRequest& message, int request_class, int tenant, std::string_view tag = {})
+      : message_(message), class_(request_class), tenant_(tenant), tag_(tag) {}
+  int request_class() const override { return class_; }
+  int tenant() const override { return tenant_; }
+  std::string_view target() const override { return View(message_.target()); }
   std::string_view Header(std::string_view name) const override {
-    const auto [first, last] = request_.message.equal_range({name.data(), name.size()});
+    if (name == kestrelline::routing::kTagName) return tag_.empty() ? std::string_view() : tag_;
+    const auto [first, last] = message_.equal_range({name.data(), name.size()});
     return first != last && std::next(first) == last ? View(first->value()) : std::string_view();
   }
 
  private:
-  // An empty value is one too: its data is never null.
-  static std::string_view View(boost::beast::string_view text) {
-    return text.empty() ? std::string_view("") : std::string_view(text.data(), text.size());
-  }
-  const ClientRequest& request_;
+  const HttpRequest& message_;
+  int class_, tenant_;
+  std::string_view tag_;
 };
 
+bool IsForm(const HttpRequest& message) {
+  return View(message[boost::beast::http::field::content_type])
+      .starts_with("application/x-www-form-urlencoded");
+}
+
+// Bounded: what a client sends must not grow what a plug-in is sent.
+kestrelline::plugin::RequestView PluginView(const HttpRequest& message, const Config& config,
+                                            int request_class, int tenant, Duration left) {
+  using namespace kestrelline::plugin;
+  kestrelline::plugin::RequestView view;
+  view.method = View(message.method_string());
+  view.target = View(message.target());
+  view.request_class = config.classes[static_cast<std::size_t>(request_class)];
+  if (!config.tenants.empty()) view.tenant = config.tenants[static_cast<std::size_t>(tenant)];
+  view.deadline_ms = left.count();
+  view.now_ms = Duration(std::chrono::system_clock::now().time_since_epoch()).count();
+  if (message.body().size() <= kMostFormBytes && IsForm(message)) view.form = message.body();
+  std::size_t bytes = view.target.size() + view.form.size();
+  for (const auto& header : message) {
+    bytes += header.name_string().size() + header.value().size();
+    if (view.headers.size() == kMostHeaders || bytes > kMostViewBytes) {
+      view.cut = true;
+      break;
+    }
+    view.headers.emplace_back(View(header.name_string()), View(header.value()));
+  }
+  return view;
+}
+
 }  // namespace
 
-Proxy::Proxy(boost::asio::io_context& io, Config config, Routes routes)
+Proxy::Proxy(boost::asio::io_context& io, Config config, Routes routes, Tagger tagger)
     : config_(std::move(config)),
       routes_(std::move(routes)),
+      tagger_(std::move(tagger)),
       balancer_(config_.settings, config_.seed),
       shares_(SharesOf(config_)),
       armed_for_(kUnarmed),
@@ -183,6 +218,13 @@
   return static_cast<int>(0x10000 + (StableHash(name) & 0x3fffffff));
 }
 
+// A request that is with its plug-ins, and the routes by which it came.
+struct Proxy::Arrival {
+  Submit submit;
+  Routes routes;
+  Tagger tagger;
+};
+
 RequestId Proxy::OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) {
   const RequestId id = ++last_request_;
   Submit submit;
@@ -194,16 +236,60 @@
   submit.has_hint = request.has_hint;
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
-  if (routes_) submit.limits = *routes_->Find(RoutedRequest(request)).limits;
+  auto route = kestrelline::routing::RouteTable::kNone;
+  if (routes_) {
+    const auto found = routes_->Find(RoutedRequest(request.message, request.request_class, request.tenant));
+    submit.limits = *found.limits;
+    route = found.route;
+  }
   Pending& pending = pending_[id];
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
   pending.responder = std::move(responder);
-  Feed(submit);
+  if (tagger_ && tagger_->Reads(route)) {
+    TagFirst(id, std::make_shared<const Arrival>(Arrival{submit, routes_, tagger_}), route);
+  } else {
+    Feed(submit);
+  }
   return id;
 }
 
+// Holds the request until its plug-ins have answered or failed, within their bound.
+void Proxy::TagFirst(RequestId id, const std::shared_ptr<const Arrival>& arrival, std::uint32_t route) {
+  const Pending& pending = pending_.at(id);
+  const Submit& submit = arrival->submit;
+  const Duration left = pending.due - Steady::now();
+  auto ticket = arrival->tagger->Tag(
+      PluginView(*pending.message, config_, submit.request_class, submit.tenant, left), submit.request_class,
+      route, left,
+      [this, id, arrival](const kestrelline::plugin::Verdict& verdict) { OnTagged(id, *arrival, verdict); });
+  // The verdict may have come within the call, and the answer too.
+  const auto found = pending_.find(id);
+  if (found != pending_.end()) found->second.tagging = std::move(ticket);
+}
+
+void Proxy::OnTagged(RequestId id, const Arrival& arrival, const kestrelline::plugin::Verdict& verdict) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  const auto over = std::move(found->second.tagging);
+  Submit submit = arrival.submit;
+  submit.withheld = verdict.refuse;
+  submit.request_class = verdict.request_class.value_or(submit.request_class);
+  submit.tenant = verdict.tenant.value_or(submit.tenant);
+  if (verdict.key) submit.key = std::max<std::uint64_t>(1, StableHash(*verdict.key));
+  if (verdict.cost_ms) {
+    submit.has_hint = true;
+    submit.work_ms = *verdict.cost_ms;
+  }
+  if (arrival.routes) {
+    const RoutedRequest tagged(*found->second.message, submit.request_class, submit.tenant,
+                               verdict.route_tag);
+    submit.limits = *arrival.routes->Find(tagged).limits;
+  }
+  Feed(submit);
+}
+
 void Proxy::OnClientGone(RequestId request) {
   if (!Conclude(request)) return;
   ForgetIfOver(request);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -25,6 +25,7 @@
 #include "descriptors.h"
 #include "discovery.h"
 #include "members.h"
+#include "plugin/tagger.h"
 #include "routing/table.h"
 
 namespace brackenspoke::proxy {
@@ -32,17 +33,21 @@
 class Proxy : public RequestHandler {
  public:
   using Routes = std::shared_ptr<const kestrelline::routing::RouteTable>;
+  using Tagger = std::shared_ptr<kestrelline::plugin::Tagger>;
 
-  // Listens, and watches discovery, from here on.
-  Proxy(boost::asio::io_context& io, Config config, Routes routes = nullptr);
+  // Listens, and watches discovery, from here on. Null routes, or a null tagger: none.
+  Proxy(boost::asio::io_context& io, Config config, Routes routes = nullptr, Tagger tagger = nullptr);
   ~Proxy() override;
 
   // Takes over where discovery is from a configuration read anew; the rest of it holds from the next start
   // on.
   void Reload(const Config& config);
 
-  // From the next request on; those that are held end under the routes that they came by. Null: none.
-  void SetRoutes(Routes routes) { routes_ = std::move(routes); }
+  // From the next request on; those that are held end under the routes and the plug-ins that they came by.
+  void SetRoutes(Routes routes, Tagger tagger = nullptr) {
+    routes_ = std::move(routes);
+    tagger_ = std::move(tagger);
+  }
 
   // As it was read at the start: what is in force but for the address of discovery.
   const Config& config() const { return config_; }
@@ -68,8 +73,10 @@
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
-    int attempts_out = 0;  // two where a second copy is out
+    int attempts_out = 0;                         // two where a second copy is out
+    kestrelline::plugin::Tagger::Ticket tagging;  // null once the module has the request
   };
+  struct Arrival;  // a request that is with its plug-ins
 
   void Feed(Event event);
   void HandleQueued();
@@ -78,6 +85,9 @@
   int ZoneOf(const std::string& name) const;
   int MostOut() const { return config_.settings.parallel_tries ? 2 : 1; }  // attempts of one request
 
+  void TagFirst(RequestId id, const std::shared_ptr<const Arrival>& arrival, std::uint32_t route);
+  void OnTagged(RequestId id, const Arrival& arrival, const kestrelline::plugin::Verdict& verdict);
+
   void Do(const Dispatch& action);
   void Do(const Refuse& action);
   void Do(const Fail& action);
@@ -94,6 +104,7 @@
 
   Config config_;
   Routes routes_;
+  Tagger tagger_;
   ModuleClock clock_;
   Balancer balancer_;
   ServerNumbers numbers_;
--- a/src/routing/section.cpp
+++ b/src/routing/section.cpp
@@ -47,6 +47,7 @@
     Key{"method", Kind::kTexts, "Its method is one of these: GET, POST."},
     Key{"path_prefix", Kind::kText, "Its path begins with these whole segments."},
     Key{"header", Kind::kTable, "Each of these headers is there once and has just this value."},
+    Key{"tag", Kind::kText, "A plug-in set this route tag."},
     Key{"zone", Kind::kTexts, "The proxy stands in one of these zones."},
 };
 constexpr std::array kBudgetKeys{
@@ -82,6 +83,7 @@
   match.methods = reader.Texts("method");
   match.zones = reader.Texts("zone");
   match.path_prefix = reader.Text("path_prefix");
+  match.tag = reader.Text("tag");
   reader.Pairs("header", [&](const At<std::string>& name, const At<std::string>& value) {
     match.headers.emplace_back(name, value);
   });
--- a/src/routing/spec.h
+++ b/src/routing/spec.h
@@ -35,6 +35,7 @@
 struct MatchSpec {
   Maybe<Names> classes, tenants, methods, zones;
   Maybe<std::string> path_prefix;
+  Maybe<std::string> tag;                                            // set by a plug-in
   std::vector<std::pair<At<std::string>, At<std::string>>> headers;  // name, value
 };
 
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -366,6 +366,30 @@
           "others");
   }
 
+  static bool PlainValue(const std::string& value) {
+    return value.size() <= 256 &&
+           std::all_of(value.begin(), value.end(), [](unsigned char c) { return c >= 0x20 && c != 0x7f; }) &&
+           !value.starts_with(' ') && !value.ends_with(' ');
+  }
+
+  // False if the route has a condition of that name already.
+  bool AddCondition(Position at, const std::string& name, const std::string& value, Route* route) {
+    auto& names = table_->header_names_;
+    auto found = std::find(names.begin(), names.end(), name);
+    if (found == names.end() && names.size() == kMostHeaderNames) {
+      Bad(at, "bound",
+          "more than " + std::to_string(kMostHeaderNames) + " different names of headers in the file");
+      return true;
+    }
+    if (found == names.end()) found = names.insert(names.end(), name);
+    const auto number = static_cast<std::size_t>(found - names.begin());
+    if (std::any_of(route->headers.begin(), route->headers.end(),
+                    [&](const Route::Header& h) { return h.name == number; }))
+      return false;
+    route->headers.push_back({number, value});
+    return true;
+  }
+
   void ResolveHeaders(const MatchSpec& match, Route* route) {
     for (const auto& [name, value] : match.headers) {
       std::string lower = name.value;
@@ -379,32 +403,19 @@
         Bad(name.at, "header", "'" + name.value + "' is no name of a header");
         continue;
       }
-      const bool plain = value.value.size() <= 256 &&
-                         std::all_of(value.value.begin(), value.value.end(),
-                                     [](unsigned char c) { return c >= 0x20 && c != 0x7f; }) &&
-                         !value.value.starts_with(' ') && !value.value.ends_with(' ');
-      if (!plain) {
+      if (!PlainValue(value.value)) {
         Bad(value.at, "header",
             "no header has such a value; accepted are up to 256 bytes, no control characters, no blanks at "
             "the ends");
         continue;
       }
-      auto& names = table_->header_names_;
-      auto found = std::find(names.begin(), names.end(), lower);
-      if (found == names.end() && names.size() == kMostHeaderNames) {
-        Bad(name.at, "bound",
-            "more than " + std::to_string(kMostHeaderNames) + " different names of headers in the file");
-        continue;
-      }
-      if (found == names.end()) found = names.insert(names.end(), lower);
-      const auto number = static_cast<std::size_t>(found - names.begin());
-      if (std::any_of(route->headers.begin(), route->headers.end(),
-                      [&](const Route::Header& h) { return h.name == number; })) {
+      if (!AddCondition(name.at, lower, value.value, route))
         Bad(name.at, "duplicate",
             "header '" + name.value + "' is named twice: names differ by more than case");
-        continue;
-      }
-      route->headers.push_back({number, value.value});
+    }
+    if (match.tag) {
+      if (!PlainValue(match.tag->value)) Bad(match.tag->at, "header", "no route tag is like this");
+      AddCondition(match.tag->at, std::string(kTagName), match.tag->value, route);
     }
     std::sort(route->headers.begin(), route->headers.end(),
               [](const auto& a, const auto& b) { return a.name < b.name; });
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -30,6 +30,9 @@
 inline constexpr std::size_t kMostEntries = 200000;
 inline constexpr std::size_t kMostRoutes = 20000;
 
+// The name under which a route tag is looked up beside the headers: no header can have it.
+inline constexpr std::string_view kTagName = ":tag";
+
 // A request as routes see it. All views are read during the look-up only.
 class RequestView {
  public:
@@ -38,7 +41,8 @@
   virtual int tenant() const = 0;         // the same; -1: none
   // As sent, the query may follow: prefixes are compared by bytes and whole segments.
   virtual std::string_view target() const = 0;
-  // The value of a header, by its name in lower case; null data if it is absent or given more than once.
+  // The value of a header, by its name in lower case; null data if it is absent or given more than once. Of
+  // kTagName: what a plug-in set, null data if none did.
   virtual std::string_view Header(std::string_view name) const = 0;
 };
 
--- /dev/null
+++ b/tests/plugin/daemon_test.cpp
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The program with plug-ins, under load from the stand-ins, while a plug-in misbehaves: the ledger audits the
+// four rules for every request.
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+#include "app/cli.h"
+#include "load/engine.h"
+#include "plugin/faulty_script.h"
+#include "support/process.h"
+#include "support/running_fleet.h"
+#include "support/temporary.h"
+
+namespace kestrelline::testing {
+namespace {
+
+constexpr char kOperator[] = R"(version = 1
+[[plugin]]
+name = "faulty"
+file = "faulty.lua"
+sets = ["class", "key"]
+classes = ["book"]
+fuel = 100000000
+faults = 100
+[plugin.on_failure_of]
+book = "pass"
+[[plugin]]
+name = "healthy"
+file = "healthy.lua"
+sets = "route"
+on_failure = "pass"
+[[route]]
+name = "tagged"
+match.tag = "healthy"
+max_in_flight = 100000
+)";
+constexpr char kHealthy[] = "return { api = 1, tag = function(r) return { route = 'healthy' } end }";
+
+// One proxy with plug-ins before a stand-in fleet.
+class Daemon {
+ public:
+  explicit Daemon(const std::string& script) : site_(SmallSite()), fleet_(site_), address_(FreePort()) {
+    folder_.Write("operator.toml", kOperator);
+    folder_.Write("faulty.lua", script);
+    folder_.Write("healthy.lua", kHealthy);
+    const auto discovery = fleet_.Ask([](standin::Fleet& f) { return f.discovery_address(0); });
+    const std::string listen = "127.0.0.1:" + std::to_string(address_.port());
+    folder_.Write("config.json", standin::ProxyConfig(site_, 0, listen, discovery).dump());
+    child_ = std::make_unique<Child>(
+        std::map<std::string, std::string>{{"ROUTER_CONFIG", folder_ / "config.json"}}, rlim_t{0},
+        std::vector<std::string>{"--operator", folder_ / "operator.toml", "--plugin-worker",
+                                 FAULTY_WORKER_PATH});
+    EXPECT_TRUE(WaitUntilReady(address_));
+  }
+
+  // So many requests of all classes; what the ledger says of them.
+  load::Ledger::Verdict Play(double requests, std::uint64_t seed) {
+    load::Plan plan;
+    plan.seed = seed;
+    for (const auto& c : site_.classes) {
+      plan.classes.push_back({c.name, c.effect, Ms(60000)});
+      plan.mixture.classes.push_back({c.name, 1, 0, 100});
+    }
+    plan.mixture.shapes = {load::Constant{600}};
+    plan.mixture.seconds = requests / 600;
+    load::Arrivals arrivals(plan.mixture, seed);
+    std::vector<Event> events;
+    asio::io_context io(1);
+    load::Engine engine(
+        io, plan, {address_}, [&] { return arrivals.Next(); },
+        [](const load::Arrival&, load::Outcome, const load::Timing&) {});
+    engine.Watch([&](const Event& event) { events.push_back(event); });
+    engine.Start([&] { io.stop(); });
+    io.run();
+    load::RuleFigures figures = site_.Rules();
+    figures.slack = Ms(10000);  // a slow machine is not the matter
+    std::stringstream clients, sites;
+    {
+      load::EventWriter a(clients), b(sites, &figures);
+      for (const Event& event : events) a.Add(event);
+      for (const Event& event : fleet_.events.Get()) b.Add(event);
+    }
+    load::EventReader a(clients, "clients"), b(sites, "fleet");
+    return load::Judge({&a, &b});
+  }
+
+  std::string operator/(const std::string& name) const { return folder_ / name; }
+  const TemporaryFolder& folder() const { return folder_; }
+  Child& child() { return *child_; }
+  const Tcp::endpoint& address() const { return address_; }
+  int Book(const std::string& id, const std::string& fault) {
+    return static_cast<int>(
+        Client(address_).Ask(WithId(Post("book", "X-Fault: " + fault + "\r\n"), id)).result_int());
+  }
+  // How often a converter began a request.
+  std::size_t Ran(const std::string& id) {
+    const auto all = fleet_.events.Get();
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Event& e) {
+      return e.kind == Event::Kind::kBegan && e.request == id;
+    }));
+  }
+  // Reads the log up to a line that holds this.
+  std::string LineWith(const std::string& text) {
+    for (;;) {
+      const std::string line = child_->StderrLine();
+      if (line.empty() || line.find(text) != std::string::npos) return line;
+    }
+  }
+
+ private:
+  standin::SiteSpec site_;
+  RunningFleet fleet_;
+  Tcp::endpoint address_;
+  TemporaryFolder folder_;
+  std::unique_ptr<Child> child_;
+};
+
+// Every tenth request makes the plug-in misbehave, by its id: the seed says which.
+std::string OneInTen(const std::string& ways) {
+  return FaultyScript("local ways = {" + ways +
+                      "} local h = kestrel.hash(r:header('Req-Id') or '') "
+                      "if h % 10 == 0 then return ways[h // 10 % #ways + 1] end "
+                      "return r:header('X-Fault')");
+}
+
+class UnderLoad : public ::testing::TestWithParam<const char*> {};
+INSTANTIATE_TEST_SUITE_P(
+    Ways, UnderLoad,
+    ::testing::Values("'loop'", "'segv'", "'silent'", "'double'", "'nonsense'", "'widen'",
+                      "'loop','backtrack','throw','recurse','memory','widen','unknown','chatter',"
+                      "'segv','kill','exit','block','silent','double','nonsense','half','other',"
+                      "'late'"),
+    [](const auto& info) { return "Way" + std::to_string(info.index); });
+
+TEST_P(UnderLoad, TheFourRulesAreKeptForEveryRequest) {
+  constexpr std::uint64_t kSeed = 20261201;
+  SCOPED_TRACE("seed " + std::to_string(kSeed));
+  Daemon daemon(OneInTen(GetParam()));
+  const auto verdict = daemon.Play(400, kSeed);
+  EXPECT_TRUE(verdict.clean()) << load::Shown(verdict);
+  EXPECT_GT(verdict.requests, 300u);
+  EXPECT_EQ(verdict.served + verdict.refused + verdict.failed, verdict.requests);
+  EXPECT_GT(verdict.refused, 0u);  // what failed and may not pass
+  EXPECT_GT(verdict.served, verdict.requests / 4);
+  daemon.child().Signal(SIGTERM);
+  EXPECT_EQ(daemon.child().Wait(), 0);
+}
+
+TEST(PluginDaemon, ACertifiedCopyWhosePluginCrashesRunsOnce) {
+  Daemon daemon(FaultyScript());
+  int n = 0;
+  for (const char* fault : {"segv", "kill", "loop", "silent", "double", "late"}) {
+    const std::string id = "c" + std::to_string(++n);
+    EXPECT_EQ(daemon.Book(id, fault), 200);  // it passes: nothing is narrower than what it is
+    EXPECT_EQ(daemon.Ran(id), 1u) << fault;
+  }
+}
+
+TEST(PluginDaemon, OneThatMayNotPassIsRefusedBeforeAnythingIsSent) {
+  Daemon daemon(FaultyScript());
+  const auto change = Post("change", "Idempotency-Key: k\r\nX-Fault: segv\r\n");
+  const auto answer = Client(daemon.address()).Ask(WithId(change, "d1"));
+  EXPECT_EQ(answer.result_int(), 503u);
+  EXPECT_EQ(daemon.Ran("d1"), 0u);
+}
+
+TEST(PluginDaemon, SigtermWhileAPluginHangsAnswersWhatIsHeldAndEnds) {
+  Daemon daemon(FaultyScript());
+  Client client(daemon.address());
+  client.Send(WithId(Post("book", "X-Fault: block\r\n"), "t1"));
+  daemon.child().Signal(SIGTERM);
+  const auto status = client.Read().result_int();
+  EXPECT_TRUE(status == 200 || status == 503) << status;
+  EXPECT_EQ(daemon.child().Wait(), 0);
+}
+
+TEST(PluginDaemon, AReloadTakesOverAllOrNothing) {
+  Daemon daemon(FaultyScript());
+  daemon.folder().Replace("faulty.lua", "error('not today')");
+  daemon.child().Signal(SIGHUP);
+  EXPECT_EQ(
+      daemon.LineWith("[plugin-load]"),
+      daemon / "operator.toml" + ":2:1: [plugin-load] plug-in 'faulty' does not load: faulty:1: not today\n");
+  EXPECT_NE(daemon.LineWith("old configuration stays"), "");
+  EXPECT_EQ(daemon.Book("r1", "segv"), 200);  // the old one serves
+  daemon.folder().Replace("faulty.lua", kHealthy);
+  daemon.folder().Replace("operator.toml", std::string(kOperator).replace(
+                                               std::string(kOperator).find("\"key\""), 5, "\"route\""));
+  daemon.child().Signal(SIGHUP);
+  EXPECT_NE(daemon.LineWith("2 plug-ins hold from now on"), "");
+  EXPECT_EQ(daemon.Book("r2", "segv"), 200);
+}
+
+TEST(PluginDaemon, CheckRefusesAPluginThatThrowsAtLoad) {
+  const TemporaryFolder folder;
+  folder.Write("operator.toml", "version = 1\n[[plugin]]\nname = \"x\"\nfile = \"x.lua\"\nsets = \"key\"\n");
+  app::Command command;
+  command.operator_file = folder / "operator.toml";
+  command.config_file = SOURCE_PATH "/deploy/site.example.json";
+  command.plugin_worker = FAULTY_WORKER_PATH;
+  const auto check = [&](const std::string& script) {
+    folder.Write("x.lua", script);
+    std::ostringstream out, err;
+    const int code = app::Check(command, out, err);
+    return std::to_string(code) + ' ' + out.str() + err.str();
+  };
+  EXPECT_EQ(check("error('no')"),
+            "1 " + command.operator_file + ":2:1: [plugin-load] plug-in 'x' does not load: x:1: no\n");
+  EXPECT_NE(check(kHealthy).find("1 plug-in: accepted"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace kestrelline::testing
--- /dev/null
+++ b/tests/plugin/tagging_test.cpp
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Whatever plug-ins return: nothing of it widens an effect, and messages hold only what they should.
+#include "plugin/tagging.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <limits>
+
+#include "plugin/wire.h"
+#include "support/routing_site.h"
+
+namespace kestrelline::plugin {
+namespace {
+
+using brackenspoke::ClassSettings;
+using brackenspoke::Effect;
+using brackenspoke::Group;
+using testing::kCertify;
+using testing::kConvert;
+using testing::kPreview;
+using testing::kStamp;
+
+Grants All() {
+  Grants g;
+  g.classes = {kPreview, kConvert, kCertify, kStamp};
+  g.tenant = g.key = g.route = g.cost = true;
+  g.refuse_on_failure.assign(4, false);
+  return g;
+}
+
+Outcome Returned(Tags tags) {
+  Outcome o;
+  o.tags = std::move(tags);
+  return o;
+}
+Tags Class(const std::string& name) {
+  Tags t;
+  t.request_class = name;
+  return t;
+}
+
+// What the module may do with a class twice, said anew: whether all of it holds for the other as well.
+bool AllowsNoMore(const ClassSettings& from, const ClassSettings& to) {
+  if (to.effect == Effect::kUnsafe || from.effect == Effect::kSafe) return true;
+  return from.effect == Effect::kKeyed && to.effect == Effect::kKeyed && to.window <= from.window &&
+         (from.group == to.group || from.group == Group::kAll);
+}
+
+TEST(Tagging, EffectsNarrowAndNeverWiden) {
+  const auto site = testing::RoutingSite();
+  const std::vector<std::vector<bool>> may{
+      // to preview, convert, certify, stamp
+      {true, true, true, true},     // from preview (safe)
+      {false, true, true, true},    // from convert (keyed, 10 s)
+      {false, false, true, false},  // from certify (unsafe)
+      {false, false, true, true},   // from stamp (keyed, 500 ms)
+  };
+  const Grants all = All();
+  for (int from = 0; from < 4; ++from) {
+    for (int to = 0; to < 4; ++to) {
+      Tagging tagging(site, from, {&all});
+      const Fault fault = tagging.Take(0, Returned(Class(site.classes[static_cast<std::size_t>(to)])));
+      EXPECT_EQ(fault == Fault::kNone, may[from][to]) << from << " to " << to;
+      EXPECT_EQ(tagging.Decide().request_class.has_value(), may[from][to]);
+    }
+  }
+}
+
+TEST(Tagging, GroupsThatMayLieAcrossEachOtherAreNotTakenForNarrower) {
+  ClassSettings zone, cell, all;
+  for (ClassSettings* c : {&zone, &cell, &all}) c->effect = Effect::kKeyed, c->window = Duration(1000);
+  zone.group = Group::kZone, cell.group = Group::kCell, all.group = Group::kAll;
+  EXPECT_TRUE(Narrows(all, zone));
+  EXPECT_TRUE(Narrows(all, cell));
+  EXPECT_FALSE(Narrows(zone, cell));
+  EXPECT_FALSE(Narrows(cell, zone));
+  EXPECT_FALSE(Narrows(zone, all));
+}
+
+TEST(Tagging, WhatWasNotGrantedIsDroppedAsAWhole) {
+  const auto site = testing::RoutingSite();
+  Grants few;
+  few.key = true;
+  few.refuse_on_failure.assign(4, false);
+  Tags tags;
+  tags.key = "k", tags.cost_ms = 5;
+  Tagging tagging(site, kPreview, {&few});
+  EXPECT_EQ(tagging.Take(0, Returned(tags)), Fault::kForbidden);
+  EXPECT_FALSE(tagging.Decide().key);
+  EXPECT_FALSE(tagging.Decide().refuse);
+  for (Tags bad : {Class("copies"), Class("certify")}) {
+    Tagging other(site, kPreview, {&few});
+    EXPECT_EQ(other.Take(0, Returned(bad)), Fault::kForbidden);
+  }
+  Tags tenant;
+  tenant.tenant = "nobody";
+  const Grants all = All();
+  Tagging other(site, kPreview, {&all});
+  EXPECT_EQ(other.Take(0, Returned(tenant)), Fault::kForbidden);
+}
+
+TEST(Tagging, TheFirstIsHeardButForTheNarrowestClass) {
+  const auto site = testing::RoutingSite();
+  const Grants all = All();
+  Tags first = Class("convert"), second = Class("certify");
+  first.key = "one", second.key = "two", second.route = "r";
+  Tagging tagging(site, kPreview, {&all, &all});
+  tagging.Take(1, Returned(second));
+  EXPECT_FALSE(tagging.Complete());
+  tagging.Take(0, Returned(first));
+  ASSERT_TRUE(tagging.Complete());
+  const Verdict verdict = tagging.Decide();
+  EXPECT_EQ(verdict.key, "one");
+  EXPECT_EQ(verdict.route_tag, "r");
+  EXPECT_EQ(verdict.request_class, kCertify);
+}
+
+TEST(Tagging, TwoClassesOfWhichNeitherIsNarrowerLetNothingOut) {
+  auto site = testing::RoutingSite();
+  site.settings.classes[kStamp].group = Group::kZone;
+  site.settings.classes[kConvert].group = Group::kCell;
+  const Grants all = All();
+  Tagging tagging(site, kPreview, {&all, &all});
+  tagging.Take(0, Returned(Class("convert")));
+  tagging.Take(1, Returned(Class("stamp")));
+  EXPECT_TRUE(tagging.Decide().refuse);
+}
+
+TEST(Tagging, AFailureRefusesWhereTheFileSaysSo) {
+  const auto site = testing::RoutingSite();
+  Grants g = All();
+  g.refuse_on_failure[kCertify] = true;
+  for (const int cls : {kPreview, kCertify}) {
+    Tagging tagging(site, cls, {&g});
+    Outcome failed;
+    failed.fault = Fault::kCrash;
+    EXPECT_EQ(tagging.Take(0, failed), Fault::kCrash);
+    EXPECT_EQ(tagging.Decide().refuse, cls == kCertify);
+  }
+}
+
+RC_GTEST_PROP(Tagging, NothingThatPluginsReturnWidensAnEffect, ()) {
+  auto site = testing::RoutingSite();
+  for (auto& c : site.settings.classes) {
+    c.effect = *rc::gen::element(Effect::kSafe, Effect::kKeyed, Effect::kUnsafe);
+    c.group = *rc::gen::element(Group::kAll, Group::kZone, Group::kCell);
+    c.window = Duration(*rc::gen::inRange(0, 4) * 500);
+  }
+  Grants grants = All();
+  for (std::size_t i = 0; i < 4; ++i) grants.refuse_on_failure[i] = *rc::gen::arbitrary<bool>();
+  const auto text = [] {
+    return *rc::gen::element<std::string>("preview", "convert", "certify", "stamp", "acme", "", "\n",
+                                          std::string(300, 'x'), "copies");
+  };
+  const int from = *rc::gen::inRange(0, 4);
+  const auto n = *rc::gen::inRange<std::size_t>(1, 5);
+  Tagging tagging(site, from, std::vector<const Grants*>(n, &grants));
+  bool failed = false;
+  std::vector<int> asked;
+  for (std::size_t i = 0; i < n; ++i) {
+    Outcome o;
+    if (*rc::gen::arbitrary<bool>()) o.tags.request_class = text();
+    if (*rc::gen::arbitrary<bool>()) o.tags.tenant = text();
+    if (*rc::gen::arbitrary<bool>()) o.tags.key = text();
+    if (*rc::gen::arbitrary<bool>()) o.tags.route = text();
+    o.tags.cost_ms = *rc::gen::element<double>(0, 12, -1, 1e300, std::numeric_limits<double>::infinity(),
+                                               std::numeric_limits<double>::quiet_NaN());
+    if (*rc::gen::inRange(0, 5) == 0) o = {Fault::kTimeout, {}, "", 0};
+    const Fault fault = tagging.Take(i, o);
+    failed |= fault != Fault::kNone;
+    if (fault == Fault::kNone && o.tags.request_class) {
+      const auto found = std::find(site.classes.begin(), site.classes.end(), *o.tags.request_class);
+      asked.push_back(static_cast<int>(found - site.classes.begin()));
+    }
+  }
+  const Verdict verdict = tagging.Decide();
+  const auto of = [&](int c) { return site.settings.classes[static_cast<std::size_t>(c)]; };
+  if (failed && grants.refuse_on_failure[static_cast<std::size_t>(from)]) RC_ASSERT(verdict.refuse);
+  if (!verdict.refuse) {
+    const int to = verdict.request_class.value_or(from);
+    RC_ASSERT(AllowsNoMore(of(from), of(to)));
+    for (const int wanted : asked) RC_ASSERT(AllowsNoMore(of(wanted), of(to)));
+  }
+  if (verdict.cost_ms) RC_ASSERT(*verdict.cost_ms >= 0 && *verdict.cost_ms <= kMostCostMs);
+  if (verdict.key) RC_ASSERT(!verdict.key->empty() && verdict.key->size() <= kMostTagBytes);
+}
+
+// ---- messages --------------------------------------------------------------------------------------------
+wire::Reply Full() {
+  wire::Reply reply;
+  reply.id = 0x1122334455667788u;
+  reply.outcome.fuel = 640;
+  reply.outcome.tags = {"certify", "acme", "job:1", "night", 12.5};
+  return reply;
+}
+
+TEST(Wire, WhatIsWrittenIsRead) {
+  const auto reply = wire::ReadFromWorker(wire::Write(Full()));
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(std::get<wire::Reply>(*reply).outcome.tags, Full().outcome.tags);
+  wire::Call call;
+  call.id = 7;
+  call.request.method = "POST", call.request.target = "/certify/1?a=b",
+  call.request.request_class = "certify";
+  call.request.form = "x=1", call.request.cut = true, call.request.now_ms = 5;
+  call.request.headers = {{"Req-Id", "a"}, {"X", ""}};
+  const std::string bytes = wire::Write(call);
+  const auto read = wire::ReadToWorker(bytes);
+  ASSERT_TRUE(read);
+  const auto& same = std::get<wire::Call>(*read).request;
+  EXPECT_EQ(same.headers, call.request.headers);
+  EXPECT_EQ(same.target, call.request.target);
+  EXPECT_EQ(same.form, call.request.form);
+  EXPECT_TRUE(same.cut);
+  const auto load = wire::ReadToWorker(wire::Write(wire::Load{"n", "return {}", {}}));
+  ASSERT_TRUE(load);
+  EXPECT_EQ(std::get<wire::Load>(*load).budgets, Budgets{});
+}
+
+TEST(Wire, NoPartOfAMessageIsOneNorIsOneWithMoreBehindIt) {
+  wire::Call call;
+  call.request.headers = {{"Req-Id", "a"}};
+  for (const std::string& whole :
+       {wire::Write(Full()), wire::Write(wire::Ready{3}), wire::Write(wire::Refused{"no"}), wire::Write(call),
+        wire::Write(wire::Load{"n", "s", {}})}) {
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+      EXPECT_FALSE(wire::ReadFromWorker(whole.substr(0, n))) << n;
+      EXPECT_FALSE(wire::ReadToWorker(whole.substr(0, n))) << n;
+    }
+    EXPECT_FALSE(wire::ReadFromWorker(whole + 'x'));
+    EXPECT_FALSE(wire::ReadToWorker(whole + 'x'));
+  }
+}
+
+TEST(Wire, AWorkerCannotSayWhatOnlyTheDaemonFindsOutNorTagAFailure) {
+  auto reply = Full();
+  reply.outcome.tags = {};
+  for (const Fault fault : {Fault::kTimeout, Fault::kCrash, Fault::kSuspended, Fault::kLoad}) {
+    reply.outcome.fault = fault;
+    EXPECT_FALSE(wire::ReadFromWorker(wire::Write(reply)));
+  }
+  reply.outcome.fault = Fault::kError;
+  EXPECT_TRUE(wire::ReadFromWorker(wire::Write(reply)));
+  reply.outcome.tags.key = "k";
+  EXPECT_FALSE(wire::ReadFromWorker(wire::Write(reply)));
+}
+
+RC_GTEST_PROP(Wire, BytesOfAnySortAreReadOrRefused, (std::vector<std::uint8_t> bytes, std::uint8_t type)) {
+  std::string text(bytes.begin(), bytes.end());
+  text.insert(text.begin(), static_cast<char>(type % 8));
+  const auto read = wire::ReadFromWorker(text);
+  if (read) {
+    if (const auto* reply = std::get_if<wire::Reply>(&*read))
+      RC_ASSERT(reply->outcome.text.size() <= kMostFaultText);
+  }
+  std::string changed = wire::Write(Full());
+  for (const std::uint8_t b : bytes) changed[b % changed.size()] = static_cast<char>(b ^ type);
+  const auto other = wire::ReadFromWorker(changed);
+  if (other && std::holds_alternative<wire::Reply>(*other)) {
+    const Tags& tags = std::get<wire::Reply>(*other).outcome.tags;
+    if (tags.cost_ms) RC_ASSERT(*tags.cost_ms >= 0 && *tags.cost_ms <= kMostCostMs);
+  }
+}
+
+}  // namespace
+}  // namespace kestrelline::plugin
