Lists of large fleets cost what changes, not a look at every server

Cause: NewServer looked through all servers for each new one, each list sorted the whole ring anew, and the new subset was searched for each member of the old: a list of 10,000 servers took 30 to 50 ms in one event, during which nothing else is answered.

First part of the decision at scale; the pick still scans.

--- /dev/null
+++ b/bench/scale_bench.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What the decision module costs by the size of the fleet: a request, the longest event, and lists. One core,
+// the module alone, half as many requests in flight as there are servers. Figures: docs/design/scale.md.
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <queue>
+#include <random>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+
+namespace {
+
+using namespace brackenspoke;
+using WallClock = std::chrono::steady_clock;
+
+Settings SettingsOf() {
+  Settings settings;
+  ClassSettings c;
+  c.effect = Effect::kSafe;
+  c.aim = Duration(500), c.deadline = Duration(2000);
+  settings.classes = {c};
+  settings.max_attempts = 4;
+  settings.cold_from = 0.2, settings.warm_up = Duration(1000);
+  settings.fall_multiple = 3, settings.overload_for = Duration(1000);
+  return settings;
+}
+
+class Model {
+ public:
+  explicit Model(unsigned servers) : balancer_(SettingsOf(), 1), servers_(servers) {}
+
+  // The time of one event, in microseconds; its attempts are put on their way.
+  double Do(const Event& event) {
+    actions_.clear();
+    const auto begun = WallClock::now();
+    balancer_.Handle(now_, event, &actions_);
+    const double us = std::chrono::duration<double, std::micro>(WallClock::now() - begun).count();
+    for (const Action& action : actions_) {
+      if (const auto* d = std::get_if<Dispatch>(&action)) {
+        // Longer at large fleets: their subset grows with the clock, not with the number of requests.
+        std::exponential_distribution<> work(1.0 / std::clamp(servers_ / 50.0, 20.0, 200.0));
+        ends_.emplace(now_ + Duration(1 + work(draw_)), d->request, d->server);
+      }
+      over_ += !std::holds_alternative<SetTimer>(action) && !std::holds_alternative<Dispatch>(action) &&
+               !std::holds_alternative<Log>(action);
+    }
+    return us;
+  }
+
+  ServerEntry Entry(unsigned i, ServerState state = ServerState::kReady) const {
+    ServerEntry entry;
+    entry.server = i + 1, entry.state = state, entry.cell = static_cast<int>(i % 7);
+    return entry;
+  }
+  ListUpdate Whole(unsigned from = 0) const {
+    ListUpdate list{ListKind::kFull, {}};
+    for (unsigned i = from; i < servers_; ++i) list.entries.push_back(Entry(i));
+    return list;
+  }
+
+  double Submitted() {
+    Submit submit;
+    submit.request = ++last_;
+    submit.due = now_ + Duration(2000);
+    submit.has_hint = true, submit.work_ms = 20;
+    return Do(submit);
+  }
+  // The next attempt ends, and another request comes: the time of both.
+  double Turn(double* longest) {
+    if (ends_.empty()) return Submitted();
+    const auto [at, request, server] = ends_.top();
+    ends_.pop();
+    now_ = std::max(now_, at);
+    AttemptEnded end;
+    end.request = request, end.server = server, end.outcome = Outcome::kOk, end.settled = true;
+    end.took = Duration(20);
+    const double ended = Do(end), sent = Submitted();
+    *longest = std::max({*longest, ended, sent});
+    return ended + sent;
+  }
+  std::size_t in_flight() const { return ends_.size(); }
+
+ private:
+  using End = std::tuple<TimePoint, RequestId, ServerId>;
+  Balancer balancer_;
+  unsigned servers_;
+  std::mt19937 draw_{1};
+  TimePoint now_{Duration(1000)};
+  RequestId last_ = 0;
+  std::vector<Action> actions_;
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
+  std::uint64_t over_ = 0;
+};
+
+void Measure(unsigned servers) {
+  Model model(servers);
+  const double first = model.Do(model.Whole());
+  double ignored = 0;
+  for (unsigned i = 0; model.in_flight() < servers / 2 && i < 20 * servers; ++i)
+    i % 4 == 0 ? model.Turn(&ignored) : model.Submitted();
+  const unsigned turns = std::clamp(20 * servers, 20000u, 50000u);
+  for (unsigned i = 0; i < 2 * turns; ++i) model.Turn(&ignored);
+  double longest = 0, all = 0;
+  for (unsigned i = 0; i < turns; ++i) all += model.Turn(&longest);
+  const double again = model.Do(model.Whole());
+  std::vector<double> deltas;
+  for (int round = 0; round < 51; ++round) {
+    for (const ServerState state : {ServerState::kDraining, ServerState::kReady}) {
+      ListUpdate delta{ListKind::kDelta, {}};
+      for (unsigned i = 0; i < std::min(10u, servers / 2); ++i)
+        delta.entries.push_back(model.Entry((i * 37 + static_cast<unsigned>(round)) % servers, state));
+      deltas.push_back(model.Do(delta));
+    }
+  }
+  std::sort(deltas.begin(), deltas.end());
+  const double half = model.Do(model.Whole(servers / 2)), back = model.Do(model.Whole());
+  std::printf("%8u %10.2f %10.0f %10.0f %10.0f %10.1f %10.0f %10.0f %10zu\n", servers, all / turns, longest,
+              first, again, deltas[deltas.size() / 2], half, back, model.in_flight());
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main() {
+  std::printf("%8s %10s %10s %10s %10s %10s %10s %10s %10s\n", "servers", "us/request", "longest",
+              "first list", "same list", "delta 10", "half lost", "half back", "in flight");
+  for (const unsigned servers : {15u, 100u, 1000u, 10000u}) Measure(servers);
+  return 0;
+}
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -7,6 +7,7 @@
 // marked "Exception" with the condition under which it acts; docs/design/exceptions.md lists them all.
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -154,9 +155,12 @@
 // ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
 struct Server {
   ServerEntry entry;
+  std::uint32_t place = 0;  // on the ring: a hash of its id
+  bool joins = false;       // has become ready since the ring was changed last
   TimePoint gone_since{};
-  int in_list = 0;      // the last complete list that named it
-  double own_work = 0;  // hinted, of this proxy, in flight
+  std::uint32_t subset = 0;  // the last subset that held it
+  int in_list = 0;           // the last complete list that named it
+  double own_work = 0;       // hinted, of this proxy, in flight
   int own_count = 0;
   OutlierDetector::Host health;
   SentWindow sent;
@@ -270,8 +274,8 @@
   // this, every proxy held a connection to every server, and hundreds of proxies exhausted what servers
   // accept (incident i0f08a6).
   void BuildSubset() {
-    std::erase_if(ring_, [this](ServerIndex i) { return !Usable(servers_[i]); });
     const std::vector<ServerIndex> before = std::exchange(subset_, {});
+    ++subset_number_;
     const double shared = kMostSharers * static_cast<double>(ring_.size()) / settings_.balancers;
     const std::size_t size =
         std::max(judged_, static_cast<std::size_t>(std::clamp<double>(shared, kFewest, kLeastSubset)));
@@ -284,7 +288,7 @@
     AddArc(home, size);
     AddArc(away, size);
     for (const ServerIndex i : before) {
-      if (Usable(servers_[i]) && std::find(subset_.begin(), subset_.end(), i) == subset_.end())
+      if (Usable(servers_[i]) && servers_[i].subset != subset_number_)
         out_->push_back(CloseIdle{servers_[i].entry.server});
     }
   }
@@ -296,6 +300,7 @@
     for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
       const ServerIndex i = ring[(static_cast<std::size_t>(start) + k) % ring.size()];
       subset_.push_back(i);
+      servers_[i].subset = subset_number_;
       in_service += !servers_[i].health.ejected;
     }
   }
@@ -798,37 +803,58 @@
       }
     }
     for (const ServerEntry& entry : e.entries) {
-      const bool added = index_.count(entry.server) == 0;
-      if (added) index_[entry.server] = NewServer();
-      Server& s = servers_[index_[entry.server]];
+      const auto known = index_.find(entry.server);
+      const bool added = known == index_.end();
+      const ServerIndex index = added ? NewServer() : known->second;
+      if (added) index_[entry.server] = index;
+      Server& s = servers_[index];
       const ServerState before = s.entry.state;
       const bool started = added || entry.up_since != s.entry.up_since;
       s.entry = entry;
       s.entry.state = before;
+      s.place = MixBits(entry.server);
       SetState(s, entry.state);
+      if (added && entry.state == ServerState::kGone) NoteGone(s);
       if (!started || WarmShare(s) >= 1) continue;
       s.sent.Clear();
       s.turn_since = now_, s.turn_phase = random_.Unit();
     }
-    ring_.clear();
-    for (const Server& s : servers_) ring_.push_back(IndexOf(s));
-    std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) {
-      return std::pair(MixBits(servers_[a].entry.server), a) <
-             std::pair(MixBits(servers_[b].entry.server), b);
-    });
+    ChangeRing();
     FleetChanged();
     room_ = true;
   }
 
+  // Those that are not ready any more go, those that have become so are sorted and merged in: the ring of a
+  // large fleet is not sorted anew for a few.
+  void ChangeRing() {
+    std::erase_if(ring_, [this](ServerIndex i) { return !Usable(servers_[i]) || servers_[i].joins; });
+    for (const ServerIndex i : joining_) servers_[i].joins = false;
+    std::erase_if(joining_, [this](ServerIndex i) { return !Usable(servers_[i]); });
+    const auto before = [this](ServerIndex a, ServerIndex b) {
+      return std::pair(servers_[a].place, a) < std::pair(servers_[b].place, b);
+    };
+    std::sort(joining_.begin(), joining_.end(), before);
+    joining_.erase(std::unique(joining_.begin(), joining_.end()), joining_.end());
+    const auto old = static_cast<std::ptrdiff_t>(ring_.size());
+    ring_.insert(ring_.end(), joining_.begin(), joining_.end());
+    std::inplace_merge(ring_.begin(), ring_.begin() + old, ring_.end(), before);
+    joining_.clear();
+  }
+
   // The place of a server gone so long that no request can remember it, or a new one.
   ServerIndex NewServer() {
-    const auto old = std::find_if(servers_.begin(), servers_.end(), [this](const Server& s) {
-      return s.entry.state == ServerState::kGone && s.own_count == 0 && now_ - s.gone_since > kForgetAfter;
-    });
-    const auto place = static_cast<ServerIndex>(old - servers_.begin());
-    if (place == servers_.size()) {
+    const auto none = gone_.end();
+    auto old = none;
+    while (!gone_.empty() && !StillGone(gone_.front())) gone_.pop_front();
+    for (auto it = gone_.begin(); it != none && now_ - it->first > kForgetAfter && old == none; ++it) {
+      if (StillGone(*it) && servers_[it->second].own_count == 0) old = it;
+    }
+    auto place = static_cast<ServerIndex>(servers_.size());
+    if (old == none) {
       servers_.emplace_back();
     } else {
+      place = old->second;
+      gone_.erase(old);
       index_.erase(servers_[place].entry.server);
       servers_[place] = Server();
     }
@@ -837,12 +863,29 @@
     return place;
   }
 
+  bool StillGone(const std::pair<TimePoint, ServerIndex>& gone) const {
+    const Server& s = servers_[gone.second];
+    return s.entry.state == ServerState::kGone && s.gone_since == gone.first;
+  }
+
+  // In the order in which they went. Those that came back meanwhile are skipped, and swept out once they are
+  // the most.
+  void NoteGone(const Server& s) {
+    gone_.emplace_back(s.gone_since, IndexOf(s));
+    if (gone_.size() > 2 * servers_.size())
+      std::erase_if(gone_, [this](const auto& gone) { return !StillGone(gone); });
+  }
+
   void SetState(Server& s, ServerState state) {
-    if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
-    const int ready = (state == ServerState::kReady) - Usable(s);
+    const ServerState before = s.entry.state;
+    if (before == state) return;
+    if (state == ServerState::kGone) s.gone_since = now_;
+    const int ready = (state == ServerState::kReady) - (before == ServerState::kReady);
+    if (ready > 0) s.joins = true, joining_.push_back(IndexOf(s));
     fleet_.hosts += ready;
     fleet_.ejected += s.health.ejected ? ready : 0;
     s.entry.state = state;
+    if (state == ServerState::kGone) NoteGone(s);
   }
 
   // Servers that are listed, and that are in service; a cold one counts as its share.
@@ -980,9 +1023,12 @@
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
   TimePoint next_return_ = kNever;
   bool some_cold_ = false;
-  int list_ = 0;                            // of the complete lists
-  std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
-  std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
+  int list_ = 0;                                        // of the complete lists
+  std::vector<ServerIndex> ring_, subset_;              // servers ready, by their place; those picked from
+  std::vector<ServerIndex> joining_;                    // to the ring, at the end of the list that is read
+  std::deque<std::pair<TimePoint, ServerIndex>> gone_;  // servers, by since when
+  std::uint32_t subset_number_ = 0;
+  std::size_t judged_ = 0;  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
   std::unordered_map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
