A reload without plug-ins takes the place of one whose plug-ins still load

Cause: found by reading: SIGHUP with plug-ins begins a load; a second SIGHUP, whose file has none, was taken over at once and left that load going, which took the older file over when it was done.

Change: every reload goes through Host::Load, which drops the one before it; a file without plug-ins only has nothing to wait for. A test of the host holds it to that; the order of two signals to the program itself has none, as nothing tells from outside that a load has begun.

The proxy's way of a request is untouched.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -69,8 +69,8 @@
     const auto loaded = app::LoadOperatorFile(file_, proxy_.config(), app::Keep::kOutcome, &diagnostics);
     Say(diagnostics);
     if (!loaded) return OldOneStays("the operator's file is refused");
-    if (loaded->plugins->plugins().empty()) return TakeOver(config, *loaded, nullptr);
-    // Meanwhile the old one serves. A reload that comes before this one is done takes its place.
+    // Meanwhile the old one serves. A reload that comes before this one is done takes its place, also one
+    // that has no plug-in to wait for.
     host_.Load(loaded->plugins, [this, config, loaded = *loaded](auto tagger, const auto& problems) {
       kestrelline::operator_file::Diagnostics found(file_);
       app::Report(problems, &found);
@@ -83,8 +83,8 @@
   void TakeOver(const brackenspoke::proxy::Config& config, const app::OperatorConfig& loaded,
                 std::shared_ptr<plugin::Tagger> tagger) {
     proxy_.Reload(config);
-    proxy_.SetRoutes(loaded.routes, std::move(tagger));
     const std::size_t plugins = loaded.plugins->plugins().size();
+    proxy_.SetRoutes(loaded.routes, plugins > 0 ? std::move(tagger) : nullptr);
     std::fprintf(stderr, "kestrelline: %s: %zu routes%s hold from now on\n", file_.c_str(),
                  loaded.routes->routes().size(),
                  plugins > 0 ? (" and " + std::to_string(plugins) + " plug-ins").c_str() : "");
--- a/tests/plugin/host_test.cpp
+++ b/tests/plugin/host_test.cpp
@@ -251,6 +251,18 @@
   }
 }
 
+TEST_F(HostTest, ALoadThatAnotherOvertakesIsNeverTakenOver) {
+  const std::string slow = "local n = 0 for i = 1, 2000000 do n = n + i end " + std::string(kHealthy);
+  int first = 0;
+  bool second = false;
+  host->Load(TableOf(Plugin("slow"), {{"slow", slow}}), [&](auto, const auto&) { ++first; });
+  host->Load(TableOf("", {}), [&](auto tagger, const auto&) { second = tagger != nullptr; });
+  ASSERT_TRUE(Until([&] { return second; }));
+  // Nobody holds it, and its worker ends.
+  ASSERT_TRUE(Until([&] { return host->status().empty() && host->children_ending() == 0; }));
+  EXPECT_EQ(first, 0);
+}
+
 TEST_F(HostTest, ARefusedReloadLeavesTheOldOneServing) {
   const auto tagger = Load(TableOf(Plugin("faulty"), {{"faulty", FaultyScript()}}));
   ASSERT_TRUE(tagger);
