A worker that replies twice is held to its protocol fault, not to a refusal by chance

Change: for that way alone the log must name the protocol fault, which is always found; all others are held to a refusal as before, and the ledger to the four rules in each.

--- a/tests/plugin/daemon_test.cpp
+++ b/tests/plugin/daemon_test.cpp
@@ -144,10 +144,18 @@
   EXPECT_TRUE(verdict.clean()) << load::Shown(verdict);
   EXPECT_GT(verdict.requests, 300u);
   EXPECT_EQ(verdict.served + verdict.refused + verdict.failed, verdict.requests);
-  EXPECT_GT(verdict.refused, 0u);  // what failed and may not pass
+  // What failed and may not pass. The first of two replies is the right one: with these, it is by chance that
+  // the worker has another call, which the second harms.
+  const bool double_only = GetParam() == std::string("'double'");
+  if (!double_only) {
+    EXPECT_GT(verdict.refused, 0u);
+  }
   EXPECT_GT(verdict.served, verdict.requests / 4);
   daemon.child().Signal(SIGTERM);
   EXPECT_EQ(daemon.child().Wait(), 0);
+  if (double_only) {
+    EXPECT_NE(daemon.LineWith("plug-in faulty: protocol"), "");
+  }
 }
 
 TEST(PluginDaemon, ACertifiedCopyWhosePluginCrashesRunsOnce) {
