The pick of more than 64 servers by an index, not by a look at each

Need: the module scanned every server for each pick, 95 us a request at 10,000 servers, and looked at all of them at each ejection, return and end of an interval.

Change: src/fleet holds an index of own work and slowness: blocks of 16 servers with bounds from below, exact, ties even, a change at the same cost whatever the size. Groups and the ring, the last resorts, are sampled (64). Ends of intervals are caught up with when a server is looked at; returns stand in a heap; cold servers in a list. Up to 64 servers: as before. Cold servers without a budget are asked again at the next sample.

--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <functional>
 #include <queue>
 #include <random>
@@ -45,7 +46,9 @@
       if (const auto* d = std::get_if<Dispatch>(&action)) {
         // Longer at large fleets: their subset grows with the clock, not with the number of requests.
         std::exponential_distribution<> work(1.0 / std::clamp(servers_ / 50.0, 20.0, 200.0));
-        ends_.emplace(now_ + Duration(1 + work(draw_)), d->request, d->server);
+        // Servers differ: the slowest takes three times as long as the fastest.
+        const Duration took((1 + work(draw_)) * (0.5 + (d->server % 101) / 100.0));
+        ends_.push({now_ + took, d->request, d->server, took});
       }
       over_ += !std::holds_alternative<SetTimer>(action) && !std::holds_alternative<Dispatch>(action) &&
                !std::holds_alternative<Log>(action);
@@ -68,18 +71,18 @@
     Submit submit;
     submit.request = ++last_;
     submit.due = now_ + Duration(2000);
-    submit.has_hint = true, submit.work_ms = 20;
+    submit.has_hint = true, submit.work_ms = 10 + static_cast<double>(draw_() % 20);
     return Do(submit);
   }
   // The next attempt ends, and another request comes: the time of both.
   double Turn(double* longest) {
     if (ends_.empty()) return Submitted();
-    const auto [at, request, server] = ends_.top();
+    const auto [at, request, server, took] = ends_.top();
     ends_.pop();
     now_ = std::max(now_, at);
     AttemptEnded end;
     end.request = request, end.server = server, end.outcome = Outcome::kOk, end.settled = true;
-    end.took = Duration(20);
+    end.took = took;
     const double ended = Do(end), sent = Submitted();
     *longest = std::max({*longest, ended, sent});
     return ended + sent;
@@ -87,7 +90,7 @@
   std::size_t in_flight() const { return ends_.size(); }
 
  private:
-  using End = std::tuple<TimePoint, RequestId, ServerId>;
+  using End = std::tuple<TimePoint, RequestId, ServerId, Duration>;
   Balancer balancer_;
   unsigned servers_;
   std::mt19937 draw_{1};
@@ -127,9 +130,13 @@
 
 }  // namespace
 
-int main() {
+// SERVERS ...: only these sizes.
+int main(int argc, char** argv) {
   std::printf("%8s %10s %10s %10s %10s %10s %10s %10s %10s\n", "servers", "us/request", "longest",
               "first list", "same list", "delta 10", "half lost", "half back", "in flight");
-  for (const unsigned servers : {15u, 100u, 1000u, 10000u}) Measure(servers);
+  std::vector<unsigned> sizes = {15, 100, 1000, 10000};
+  if (argc > 1) sizes.clear();
+  for (int k = 1; k < argc; ++k) sizes.push_back(static_cast<unsigned>(std::atoi(argv[k])));
+  for (const unsigned servers : sizes) Measure(servers);
   return 0;
 }
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,16 +8,24 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <queue>
 #include <set>
 #include <unordered_map>
 #include <utility>
 
 #include "brackenspoke/balancer.h"
+#include "fleet/groups.h"
+#include "fleet/pick_index.h"
+#include "fleet/ring.h"
 #include "measures.h"
 
 namespace brackenspoke {
 namespace {
 
+using kestrelline::fleet::kNobody;
+using kestrelline::fleet::PickIndex;
+using kestrelline::fleet::Ring;
+
 // ---- 1. Constants -------------------------------------------------------------------------------------
 // Outlier detection, in A50's terms.
 constexpr Duration kInterval{2000};          // counts reset: long enough for the volume floor at 2 requests/s
@@ -79,6 +87,9 @@
 constexpr Duration kLogGap{1000};          // log lines of ejections and returns no closer than this
 constexpr Duration kLongLogGap{10000};     // others
 constexpr Duration kForgetAfter{600000};   // a server gone for this long loses its state
+// Large fleets: docs/design/scale.md.
+constexpr std::size_t kLookedAt = 64;  // servers that are looked at one by one; of more, this many by chance
+constexpr int kMostUnfit = 512;        // cold servers without a budget that one pick asks
 
 constexpr TimePoint kNever{Duration(1e300)};
 
@@ -87,7 +98,8 @@
 class OutlierDetector {
  public:
   struct Host {
-    int successes = 0, failures = 0, multiplier = 0;
+    int successes = 0, failures = 0, multiplier = 0;  // as of `interval`: see Sync
+    int interval = 0;
     bool ejected = false;
     TimePoint return_at{};
     int attempts() const { return successes + failures; }
@@ -99,11 +111,23 @@
     // Since the interval began; the last two of hosts in service.
     int qualifying = 0, failures = 0, attempts = 0;
     Duration interval{kInterval};
+    int number = 0;     // of the interval
     bool thin = false;  // traffic does not bring the volume to each host within kInterval
   };
 
+  // The intervals that ended since the host was looked at: they reset its counts, and lower its multiplier
+  // while it is in service.
+  static void Sync(Host& host, const Fleet& fleet) {
+    const int ended = fleet.number - host.interval;
+    if (ended == 0) return;
+    host.successes = host.failures = 0;
+    if (!host.ejected) host.multiplier = std::max(0, host.multiplier - ended);
+    host.interval = fleet.number;
+  }
+
   // Counts an answer and tests the host; true if it is ejected by it.
   static bool Record(Host& host, bool success, TimePoint now, Fleet& fleet, Random& random) {
+    Sync(host, fleet);
     ++(success ? host.successes : host.failures);
     fleet.qualifying += host.attempts() == (fleet.thin ? 1 : kRequestVolume);
     if (host.ejected) return false;
@@ -140,23 +164,23 @@
                ? kRequestVolume
                : std::min<int>(kRequestVolume, std::ceil(std::log(kByChance) / std::log(elsewhere)));
   }
-  static bool ReturnIfDue(Host& host, TimePoint now) {
-    if (!host.ejected || now < host.return_at) return false;
+  static void Return(Host& host, const Fleet& fleet) {
+    Sync(host, fleet);
     host.ejected = false;
     host.multiplier = std::max(0, host.multiplier - 1);
-    return true;
   }
-  static void EndInterval(Host& host) {
-    host.successes = host.failures = 0;
-    if (!host.ejected) host.multiplier = std::max(0, host.multiplier - 1);
+  static void EndInterval(Fleet& fleet) {
+    ++fleet.number;
+    fleet.qualifying = fleet.failures = fleet.attempts = 0;
   }
 };
 
 // ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
 struct Server {
   ServerEntry entry;
-  std::uint32_t place = 0;  // on the ring: a hash of its id
-  bool joins = false;       // has become ready since the ring was changed last
+  std::uint32_t place = 0;              // on the ring: a hash of its id
+  bool on_ring = false, moved = false;  // moved: its state has changed since the ring was brought up to date
+  bool listed_cold = false, asleep = false;  // in cold_; over its cold budget until the next sample
   TimePoint gone_since{};
   std::uint32_t subset = 0;  // the last subset that held it
   int in_list = 0;           // the last complete list that named it
@@ -190,6 +214,7 @@
   void Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
     now_ = now;
     out_ = actions;
+    if (indexed_) index_of_work_.Refresh(now_, request_work_.mean);
     std::visit([this](const auto& e) { On(e); }, event);  // first: a list may forbid what is due
     Advance();
     PlaceHeld();
@@ -225,6 +250,7 @@
   // what it saves serves others; those over their cold budget are passed over; those it has
   // tried come last; if no server of the group is in service, an ejected one is used: never a lost request.
   Server* Pick(const Request& r, const Permission& permission) {
+    if (ring_.size() > kLookedAt) return PickOfMany(r, permission);
     bool in_service = false;  // some server is in service, though without room now
     Server* best = permission.group_of ? nullptr : PickFrom(subset_, r, permission, &in_service);
     if (!best && (permission.group_of || subset_.size() < ring_.size()))
@@ -232,16 +258,95 @@
     return best;
   }
 
-  Server* PickFrom(const std::vector<ServerIndex>& from, const Request& r, const Permission& permission,
-                   bool* in_service) {
+  // The same where servers are too many to be looked at one by one: the least work by the index, and of
+  // groups and of the ring, which are the last resort, of kLookedAt by chance.
+  Server* PickOfMany(const Request& r, const Permission& permission) {
+    bool in_service = false;
+    if (permission.group_of) {
+      const ServerEntry& e = permission.group_of->entry;
+      const Group group = settings_.classes[r.cls].group;
+      const auto& all = group == Group::kZone ? zones_.Of(ZoneOf(e)) : cells_.Of(CellOf(e));
+      if (group == Group::kAll) return PickFrom(Some(ring_), r, permission, &in_service);
+      return all.size() > kLookedAt ? PickFrom(Some(all), r, permission, &in_service)
+                                    : PickFrom(all, r, permission, &in_service);
+    }
+    Server* best = indexed_ ? PickIndexed(r) : PickFrom(subset_, r, permission, &in_service);
+    if (best || SubsetSize() >= ring_.size()) return best;
+    in_service = fleet_.ejected < fleet_.hosts;
+    return PickFrom(Some(ring_), r, permission, &in_service);
+  }
+
+  template <typename Servers>
+  std::vector<ServerIndex> Some(const Servers& from) {
+    std::vector<ServerIndex> some;
+    for (std::size_t k = 0; k < kLookedAt && from.size() > 0; ++k)
+      some.push_back(from[random_.Below(from.size())]);
+    return some;
+  }
+
+  Server* PickIndexed(const Request& r) {
+    const bool home_first = settings_.price_cross_zone > 0 && random_.Unit() < home_first_;
+    const double crossing =
+        home_first ? kCrossingWeight * settings_.price_cross_zone * request_work_.mean : 0;
+    const double asked = kSlownessWeight * r.work;
+    const auto below = [this](std::uint64_t n) { return random_.Below(n); };
+    int unfit = 0;
+    const auto fits = [&](ServerIndex i) {
+      Server& s = servers_[i];
+      if (Tried(r, s) || unfit > kMostUnfit) return false;
+      if (FitsColdBudget(s, r.work)) return true;
+      // Asked again at the next sample, which is when budgets move on.
+      ++unfit, s.asleep = true, asleep_.push_back(i);
+      index_of_work_.Hide(i);
+      return false;
+    };
+    ServerIndex best = index_of_work_.Least(now_, asked, crossing, fits, below);
+    const auto score = [&](ServerIndex i) {
+      return index_of_work_.Score(i, now_, asked) + (servers_[i].entry.zone != settings_.zone ? crossing : 0);
+    };
+    const auto may = [&](ServerIndex i) {
+      return index_of_work_.Has(i) && Usable(servers_[i]) && !servers_[i].health.ejected &&
+             !servers_[i].asleep;
+    };
+    // Those that met the key are few; what they save may put them before the least.
+    double least = best == kNobody ? kNever.time_since_epoch().count() : score(best);
+    key_memory_.ForEachWarm(r.key, now_, [&](ServerIndex i) {
+      if (!may(i) || Tried(r, servers_[i]) || !FitsColdBudget(servers_[i], r.work)) return;
+      const double saved = score(i) - kWarmWeight * r.work;
+      if (saved < least) least = saved, best = i;
+    });
+    if (best != kNobody) return &servers_[best];
+    for (const Attempt& a : r.attempts) {  // those tried come last
+      if (!may(a.server) || !FitsColdBudget(servers_[a.server], r.work)) continue;
+      if (best == kNobody || score(a.server) < score(best)) best = a.server;
+    }
+    if (best != kNobody) return &servers_[best];
+    bool in_service = subset_in_service_ > 0;
+    std::vector<ServerIndex> some;
+    for (std::size_t k = 0; k < kLookedAt && !in_service; ++k) {
+      const ServerIndex i = index_of_work_.Drawn(below);
+      if (i != kNobody) some.push_back(i);
+    }
+    return PickFrom(some, r, Permission(), &in_service);
+  }
+
+  // What the index goes by.
+  void Reindex(const Server& s) {
+    if (!indexed_) return;
+    if (s.health.ejected || s.asleep || !Usable(s)) return index_of_work_.Hide(IndexOf(s));
+    index_of_work_.Set(IndexOf(s), s.own_work, s.slowness - 1, s.slowness_at);
+  }
+
+  template <typename Servers>
+  Server* PickFrom(const Servers& from, const Request& r, const Permission& permission, bool* in_service) {
     const bool home_first = settings_.price_cross_zone > 0 && random_.Unit() < home_first_;
     const double crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
     Server* best = nullptr;
     int best_rank = 0;
     double best_score = 0;
     int ties = 0;
-    for (const ServerIndex index : from) {
-      Server& s = servers_[index];
+    for (std::size_t k = 0; k < from.size(); ++k) {
+      Server& s = servers_[from[k]];
       if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) continue;
       *in_service |= !s.health.ejected;
       if (!FitsColdBudget(s, r.work)) {
@@ -274,40 +379,67 @@
   // this, every proxy held a connection to every server, and hundreds of proxies exhausted what servers
   // accept (incident i0f08a6).
   void BuildSubset() {
-    const std::vector<ServerIndex> before = std::exchange(subset_, {});
+    const std::vector<ServerIndex> before = SubsetNow();
     ++subset_number_;
-    const double shared = kMostSharers * static_cast<double>(ring_.size()) / settings_.balancers;
-    const std::size_t size =
-        std::max(judged_, static_cast<std::size_t>(std::clamp<double>(shared, kFewest, kLeastSubset)));
-    std::vector<ServerIndex> home, away;
-    for (const ServerIndex i : ring_) {
-      const bool near =
-          settings_.price_cross_zone > kWorthStaying && servers_[i].entry.zone == settings_.zone;
-      (near ? home : away).push_back(i);
-    }
-    AddArc(home, size);
-    AddArc(away, size);
+    subset_.clear();
+    const std::size_t size = SubsetAim();
+    subset_in_service_ = 0;
+    const bool near = settings_.price_cross_zone > kWorthStaying;
+    if (near) AddArc(home_, size, &home_start_);
+    AddArc(near ? away_ : ring_, size, &away_start_);
+    const bool index = subset_.size() > kLookedAt;
+    if (index && !indexed_) index_of_work_.Refresh(now_, request_work_.mean);
+    indexed_ |= index;
     for (const ServerIndex i : before) {
-      if (Usable(servers_[i]) && servers_[i].subset != subset_number_)
-        out_->push_back(CloseIdle{servers_[i].entry.server});
+      Server& s = servers_[i];
+      if (s.subset == subset_number_ && index) continue;
+      index_of_work_.Leave(i);
+      if (Usable(s) && s.subset != subset_number_) out_->push_back(CloseIdle{s.entry.server});
     }
+    indexed_ = index;
+    if (!index) return;
+    for (const ServerIndex i : subset_) EnterIndex(i);
+    subset_.clear();
+  }
+
+  void EnterIndex(ServerIndex i) {
+    if (index_of_work_.Has(i)) return;
+    const bool crosses = settings_.price_cross_zone > 0 && servers_[i].entry.zone != settings_.zone;
+    index_of_work_.Enter(i, crosses ? PickIndex::kAway : PickIndex::kHome);
+    Reindex(servers_[i]);
   }
 
-  void AddArc(const std::vector<ServerIndex>& ring, std::size_t size) {
+  std::size_t SubsetSize() const { return indexed_ ? index_of_work_.size() : subset_.size(); }
+  std::vector<ServerIndex> SubsetNow() const {
+    if (!indexed_) return subset_;
+    std::vector<ServerIndex> now;
+    now.reserve(index_of_work_.size());
+    index_of_work_.ForEach([&](ServerIndex i) { now.push_back(i); });
+    return now;
+  }
+
+  std::size_t SubsetAim() const {
+    const double shared = kMostSharers * static_cast<double>(ring_.size()) / settings_.balancers;
+    return std::max(judged_, static_cast<std::size_t>(std::clamp<double>(shared, kFewest, kLeastSubset)));
+  }
+
+  void AddArc(const Ring& ring, std::size_t size, std::size_t* begin) {
     const double turns = settings_.me * kGoldenRatio;
     const double start = (turns - std::floor(turns)) * static_cast<double>(ring.size());
+    *begin = static_cast<std::size_t>(start);
     std::size_t in_service = 0;
     for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
-      const ServerIndex i = ring[(static_cast<std::size_t>(start) + k) % ring.size()];
+      const ServerIndex i = ring[(*begin + k) % ring.size()];
       subset_.push_back(i);
       servers_[i].subset = subset_number_;
       in_service += !servers_[i].health.ejected;
     }
+    subset_in_service_ += in_service;
   }
 
   void ResizeSubset() {
     const double per_s = asked_rate_ * 1000 / std::max(1e-9, request_work_.mean);
-    const double volume_s = kRequestVolume * static_cast<double>(subset_.size()) / std::max(per_s, 1e-9);
+    const double volume_s = kRequestVolume * static_cast<double>(SubsetSize()) / std::max(per_s, 1e-9);
     fleet_.interval = std::clamp(Duration(volume_s * 1000), kInterval, kLongestInterval);
     fleet_.thin = fleet_.interval > kInterval;
     const auto judged = static_cast<std::size_t>(per_s * kInterval.count() / 1000 / kRequestVolume);
@@ -445,6 +577,7 @@
     ++in_flight_;
     s.own_work += r.work;
     ++s.own_count;
+    Reindex(s);
     if (WarmShare(s) < 1) s.sent.Add(now_, r.work);
     s.turn_since = now_, s.turn_phase = 1;
     if (settings_.warm_keys && r.key != 0) key_memory_.Met(r.key, IndexOf(s), now_);
@@ -504,6 +637,11 @@
     s.own_work -= r.work;
     if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
     if (--s.own_count == 0) s.own_work = 0;
+    LearnOutcome(r, e, s);
+    Reindex(s);
+  }
+
+  void LearnOutcome(const Request& r, const AttemptEnded& e, Server& s) {
     const bool ok = e.outcome == Outcome::kOk;
     if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnknown)
       return;
@@ -534,8 +672,8 @@
     }
     if (!OutlierDetector::Record(s.health, ok, now_, fleet_, random_)) return;
     fleet_.ejected -= !Usable(s);  // a draining server's late answers may fail too
-    next_return_ = std::min(next_return_, s.health.return_at);
-    FleetChanged();
+    returns_.emplace(s.health.return_at, IndexOf(s));
+    HealthChanged();
     if (fleet_.thin) out_->push_back(CloseIdle{s.entry.server});  // others may need the place
     if (MayLog(kHealth)) {
       LogLine("server " + std::to_string(s.entry.server) + " ejected: " + std::to_string(s.health.failures) +
@@ -810,12 +948,15 @@
       Server& s = servers_[index];
       const ServerState before = s.entry.state;
       const bool started = added || entry.up_since != s.entry.up_since;
+      Regroup(s, entry);
       s.entry = entry;
       s.entry.state = before;
       s.place = MixBits(entry.server);
       SetState(s, entry.state);
       if (added && entry.state == ServerState::kGone) NoteGone(s);
-      if (!started || WarmShare(s) >= 1) continue;
+      if (WarmShare(s) >= 1) continue;
+      if (!std::exchange(s.listed_cold, true)) cold_.push_back(index);
+      if (!started) continue;
       s.sent.Clear();
       s.turn_since = now_, s.turn_phase = random_.Unit();
     }
@@ -824,21 +965,48 @@
     room_ = true;
   }
 
-  // Those that are not ready any more go, those that have become so are sorted and merged in: the ring of a
-  // large fleet is not sorted anew for a few.
+  // Those that are not ready any more go, those that have become so come: the rings and groups of a large
+  // fleet are not made anew for a few.
   void ChangeRing() {
-    std::erase_if(ring_, [this](ServerIndex i) { return !Usable(servers_[i]) || servers_[i].joins; });
-    for (const ServerIndex i : joining_) servers_[i].joins = false;
-    std::erase_if(joining_, [this](ServerIndex i) { return !Usable(servers_[i]); });
-    const auto before = [this](ServerIndex a, ServerIndex b) {
-      return std::pair(servers_[a].place, a) < std::pair(servers_[b].place, b);
-    };
-    std::sort(joining_.begin(), joining_.end(), before);
-    joining_.erase(std::unique(joining_.begin(), joining_.end()), joining_.end());
-    const auto old = static_cast<std::ptrdiff_t>(ring_.size());
-    ring_.insert(ring_.end(), joining_.begin(), joining_.end());
-    std::inplace_merge(ring_.begin(), ring_.begin() + old, ring_.end(), before);
-    joining_.clear();
+    const bool near = settings_.price_cross_zone > kWorthStaying;
+    std::vector<kestrelline::fleet::Spot> leaving[3], joining[3];  // all, home, away
+    for (const ServerIndex i : moved_) {
+      Server& s = servers_[i];
+      s.moved = false;
+      if (Usable(s) == s.on_ring) continue;
+      s.on_ring = Usable(s);
+      auto& spots = s.on_ring ? joining : leaving;
+      spots[0].push_back({s.place, i});
+      if (near) spots[s.entry.zone == settings_.zone ? 1 : 2].push_back({s.place, i});
+      s.on_ring ? Join(s) : Part(s);
+    }
+    moved_.clear();
+    Ring* const rings[] = {&ring_, &home_, &away_};
+    for (int k = 0; k < 3; ++k) rings[k]->Change(&leaving[k], &joining[k]);
+  }
+
+  static std::uint64_t ZoneOf(const ServerEntry& e) { return static_cast<std::uint32_t>(e.zone); }
+  static std::uint64_t CellOf(const ServerEntry& e) {
+    return ZoneOf(e) << 32 | static_cast<std::uint32_t>(e.cell);
+  }
+  void Join(const Server& s) {
+    zones_.Add(ZoneOf(s.entry), IndexOf(s));
+    cells_.Add(CellOf(s.entry), IndexOf(s));
+  }
+  void Part(const Server& s) {
+    zones_.Remove(ZoneOf(s.entry), IndexOf(s));
+    cells_.Remove(CellOf(s.entry), IndexOf(s));
+  }
+
+  // A server that is listed elsewhere than before leaves its rings and groups, and joins them anew.
+  void Regroup(Server& s, const ServerEntry& entry) {
+    if (!s.on_ring || (s.entry.zone == entry.zone && s.entry.cell == entry.cell)) return;
+    const ServerState state = std::exchange(s.entry.state, ServerState::kGone);
+    if (!std::exchange(s.moved, true)) moved_.push_back(IndexOf(s));
+    ChangeRing();
+    s.entry.state = state;
+    if (!std::exchange(s.moved, true)) moved_.push_back(IndexOf(s));
+    index_of_work_.Leave(IndexOf(s));  // of the side that it was on
   }
 
   // The place of a server gone so long that no request can remember it, or a new one.
@@ -860,6 +1028,7 @@
     }
     servers_[place].entry.state = ServerState::kGone;
     servers_[place].gone_since = now_;
+    servers_[place].health.interval = fleet_.number;
     return place;
   }
 
@@ -881,7 +1050,7 @@
     if (before == state) return;
     if (state == ServerState::kGone) s.gone_since = now_;
     const int ready = (state == ServerState::kReady) - (before == ServerState::kReady);
-    if (ready > 0) s.joins = true, joining_.push_back(IndexOf(s));
+    if (!std::exchange(s.moved, true)) moved_.push_back(IndexOf(s));
     fleet_.hosts += ready;
     fleet_.ejected += s.health.ejected ? ready : 0;
     s.entry.state = state;
@@ -890,23 +1059,33 @@
 
   // Servers that are listed, and that are in service; a cold one counts as its share.
   void CountCapacity() {
-    listed_ = in_service_ = 0;
-    some_cold_ = false;
-    for (const Server& s : servers_) {
-      if (!Usable(s)) continue;
-      const double share = WarmShare(s);
-      some_cold_ |= share < 1;
-      listed_ += share;
-      in_service_ += s.health.ejected ? 0 : share;
+    std::erase_if(cold_, [this](ServerIndex i) {
+      Server& s = servers_[i];
+      if (!s.listed_cold) return true;  // its place was used again
+      s.listed_cold = Usable(s) && WarmShare(s) < 1;
+      return !s.listed_cold;
+    });
+    listed_ = fleet_.hosts, in_service_ = fleet_.hosts - fleet_.ejected;
+    for (const ServerIndex i : cold_) {
+      const double lacking = 1 - WarmShare(servers_[i]);
+      listed_ -= lacking;
+      in_service_ -= servers_[i].health.ejected ? 0 : lacking;
     }
   }
 
-  // After a change of what is listed or in service.
+  // After a change of what is listed.
   void FleetChanged() {
     CountCapacity();
     BuildSubset();
   }
 
+  // After a change of what is in service. Where the subset is the whole fleet, it stays as it is.
+  void HealthChanged() {
+    CountCapacity();
+    if (!indexed_ || SubsetSize() < ring_.size()) return BuildSubset();
+    subset_in_service_ = static_cast<std::size_t>(fleet_.hosts - fleet_.ejected);
+  }
+
   void FollowUp(ListKind kind) {
     if (kind == ListKind::kCached) {
       ask_at_ = now_;  // a new life: nothing is subscribed yet
@@ -924,11 +1103,10 @@
   // ---- Time -------------------------------------------------------------------------------------------
   void Advance() {
     if (now_ >= armed_) armed_ = kNever;
-    if (now_ >= next_return_) ReturnServers();
+    if (!returns_.empty() && now_ >= returns_.top().first) ReturnServers();
     if (now_ >= interval_end_) {
       interval_end_ = now_ + fleet_.interval;
-      fleet_.qualifying = fleet_.failures = fleet_.attempts = 0;
-      for (Server& s : servers_) OutlierDetector::EndInterval(s.health);
+      OutlierDetector::EndInterval(fleet_);
       std::erase_if(budgets_, [this](auto& b) { return b.second.Empty(now_); });
     }
     if (now_ >= sample_at_) Sample();
@@ -952,24 +1130,28 @@
   }
 
   void ReturnServers() {
-    next_return_ = kNever;
-    for (Server& s : servers_) {
-      if (OutlierDetector::ReturnIfDue(s.health, now_)) {
-        room_ = true;
-        fleet_.ejected -= Usable(s);
-        fleet_.failures += s.health.failures;
-        fleet_.attempts += s.health.attempts();
-        if (MayLog(kHealth)) LogLine("server " + std::to_string(s.entry.server) + " returns to service");
-      } else if (s.health.ejected) {
-        next_return_ = std::min(next_return_, s.health.return_at);
-      }
+    for (; !returns_.empty() && returns_.top().first <= now_; returns_.pop()) {
+      Server& s = servers_[returns_.top().second];
+      if (!s.health.ejected || s.health.return_at != returns_.top().first)
+        continue;  // its place was used again
+      OutlierDetector::Return(s.health, fleet_);
+      Reindex(s);
+      room_ = true;
+      fleet_.ejected -= Usable(s);
+      fleet_.failures += s.health.failures;
+      fleet_.attempts += s.health.attempts();
+      if (MayLog(kHealth)) LogLine("server " + std::to_string(s.entry.server) + " returns to service");
     }
-    FleetChanged();
+    HealthChanged();
   }
 
   void Sample() {
     const double elapsed = (now_ - sampled_at_).count();
-    if (some_cold_) CountCapacity();
+    if (!cold_.empty()) CountCapacity();
+    for (const ServerIndex i : std::exchange(asleep_, {})) {
+      servers_[i].asleep = false;
+      Reindex(servers_[i]);
+    }
     FindOverdue();
     if (sampled_at_ != TimePoint{} && elapsed > 0) {
       // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
@@ -1021,11 +1203,18 @@
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
-  TimePoint next_return_ = kNever;
-  bool some_cold_ = false;
-  int list_ = 0;                                        // of the complete lists
-  std::vector<ServerIndex> ring_, subset_;              // servers ready, by their place; those picked from
-  std::vector<ServerIndex> joining_;                    // to the ring, at the end of the list that is read
+  std::priority_queue<std::pair<TimePoint, ServerIndex>, std::vector<std::pair<TimePoint, ServerIndex>>,
+                      std::greater<>>
+      returns_;                               // of those ejected
+  int list_ = 0;                              // of the complete lists
+  Ring ring_, home_, away_;                   // servers ready, by their place; of the own zone, and of others
+  std::vector<ServerIndex> moved_;            // whose state has changed in the list that is read
+  kestrelline::fleet::Groups zones_, cells_;  // of servers ready
+  std::vector<ServerIndex> subset_;           // those picked from; empty while the index has them
+  bool indexed_ = false;                      // they are more than are looked at one by one
+  PickIndex index_of_work_{kSlownessMemory};
+  std::size_t subset_in_service_ = 0, home_start_ = 0, away_start_ = 0;
+  std::vector<ServerIndex> cold_, asleep_;  // not all of their capacity yet; without a budget for now
   std::deque<std::pair<TimePoint, ServerIndex>> gone_;  // servers, by since when
   std::uint32_t subset_number_ = 0;
   std::size_t judged_ = 0;  // servers that this proxy's traffic can judge
--- /dev/null
+++ b/src/fleet/ring.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Members on a ring, by a hash that everybody shares, kept in order: a change costs one pass over 8 bytes a
+// member, sorting only what changes.
+#ifndef KESTRELLINE_FLEET_RING_H_
+#define KESTRELLINE_FLEET_RING_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "fleet/pick_index.h"
+
+namespace kestrelline::fleet {
+
+struct Spot {
+  std::uint32_t place = 0;  // a hash of what the member is called
+  Member member = kNobody;
+  auto operator<=>(const Spot&) const = default;
+};
+
+class Ring {
+ public:
+  std::size_t size() const { return spots_.size(); }
+  Member operator[](std::size_t k) const { return spots_[k].member; }
+  std::uint32_t PlaceOf(std::size_t k) const { return spots_[k].place; }
+
+  // Takes out those that leave, which must be there, and adds those that join, which must not. Sorts both.
+  void Change(std::vector<Spot>* leaving, std::vector<Spot>* joining) {
+    std::sort(leaving->begin(), leaving->end());
+    std::sort(joining->begin(), joining->end());
+    if (!leaving->empty()) {
+      auto next = leaving->begin();
+      std::erase_if(spots_, [&](const Spot& spot) {
+        while (next != leaving->end() && *next < spot) ++next;
+        return next != leaving->end() && *next == spot;
+      });
+    }
+    const auto old = static_cast<std::ptrdiff_t>(spots_.size());
+    spots_.insert(spots_.end(), joining->begin(), joining->end());
+    std::inplace_merge(spots_.begin(), spots_.begin() + old, spots_.end());
+  }
+
+  // The first at `place` or after it, round the ring. The ring is not empty.
+  std::size_t At(std::uint32_t place) const {
+    const auto found = std::lower_bound(spots_.begin(), spots_.end(), Spot{place, 0});
+    return found == spots_.end() ? 0 : static_cast<std::size_t>(found - spots_.begin());
+  }
+
+ private:
+  std::vector<Spot> spots_;
+};
+
+}  // namespace kestrelline::fleet
+
+#endif  // KESTRELLINE_FLEET_RING_H_
--- a/src/measures.h
+++ b/src/measures.h
@@ -109,7 +109,7 @@
 class KeyMemory {
  public:
   explicit KeyMemory(Duration kept) : kept_(kept) {}
-  void Met(std::uint64_t key, std::size_t server, TimePoint now) {
+  void Met(std::uint64_t key, std::uint32_t server, TimePoint now) {
     while (!order_.empty() && now - order_.front().first >= kept_) {
       const auto found = met_.find(order_.front().second);
       if (found != met_.end()) {
@@ -120,10 +120,20 @@
     }
     auto& servers = met_[key];
     std::erase_if(servers, [&](const auto& met) { return met.first == server; });
+    if (servers.size() >= kMost) servers.erase(servers.begin());  // a hot key is warm nearly everywhere
     servers.emplace_back(server, now);
     order_.emplace_back(now, key);
   }
-  bool Warm(std::uint64_t key, std::size_t server, TimePoint now) const {
+  // Each server that met the key; none for key 0.
+  template <typename Visit>
+  void ForEachWarm(std::uint64_t key, TimePoint now, Visit&& visit) const {
+    const auto found = key == 0 ? met_.end() : met_.find(key);
+    if (found == met_.end()) return;
+    for (const auto& [server, at] : found->second) {
+      if (now - at < kept_) visit(server);
+    }
+  }
+  bool Warm(std::uint64_t key, std::uint32_t server, TimePoint now) const {
     const auto found = met_.find(key);
     if (found == met_.end()) return false;
     return std::any_of(found->second.begin(), found->second.end(),
@@ -131,13 +141,15 @@
   }
 
  private:
+  static constexpr std::size_t kMost = 64;  // servers of a key
+
   Duration kept_;
-  std::unordered_map<std::uint64_t, std::vector<std::pair<std::size_t, TimePoint>>> met_;
+  std::unordered_map<std::uint64_t, std::vector<std::pair<std::uint32_t, TimePoint>>> met_;
   std::deque<std::pair<TimePoint, std::uint64_t>> order_;
 };
 
 // ---- what is kept of requests --------------------------------------------------------------------------
-using ServerIndex = std::size_t;  // of the dense list of servers
+using ServerIndex = std::uint32_t;  // of the dense list of servers
 
 struct Attempt {
   ServerIndex server = 0;
--- a/tests/support/rules_world.h
+++ b/tests/support/rules_world.h
@@ -49,13 +49,15 @@
   // What plug-ins make of a request before the module has it. It is judged by the class that it came with.
   using Tagged = std::function<void(Submit* submit, std::mt19937_64& random)>;
 
-  World(Settings settings, std::uint64_t seed, LimitsFor limits_for = nullptr, Tagged tagged = nullptr)
+  World(Settings settings, std::uint64_t seed, LimitsFor limits_for = nullptr, Tagged tagged = nullptr,
+        int servers = 8)
       : settings_(settings),
         limits_for_(std::move(limits_for)),
         tagged_(std::move(tagged)),
         rng_(seed),
         balancer_(settings, seed) {
-    for (ServerId id = 1; id <= 8; ++id) servers_[id] = Entry(id, id % 2, id % 3);
+    for (int id = 1; id <= servers; ++id)
+      servers_[static_cast<ServerId>(id)] = Entry(static_cast<ServerId>(id), id % 2, id % 3);
   }
 
   void Play() {
@@ -127,7 +129,7 @@
   }
 
   void ChangeList() {
-    const ServerId id = 1 + static_cast<ServerId>(Roll(8));
+    const ServerId id = 1 + static_cast<ServerId>(Roll(static_cast<int>(servers_.size())));
     ServerEntry& e = servers_[id];
     e.state = static_cast<ServerState>(Roll(3));
     if (e.state == ServerState::kReady && Roll(2)) e.up_since = At(now_);
@@ -197,7 +199,9 @@
         if (NeverRan(t)) continue;
         EXPECT_NE(effect, Effect::kUnsafe) << "an effect twice";
         if (effect == Effect::kKeyed) {
-          EXPECT_EQ(servers_[t.server].cell, servers_[d->server].cell);
+          const bool cell = settings_.classes[static_cast<std::size_t>(r.cls)].group == Group::kCell;
+          EXPECT_EQ(servers_[t.server].zone, servers_[d->server].zone);
+          EXPECT_TRUE(!cell || servers_[t.server].cell == servers_[d->server].cell);
           EXPECT_LE(now_ - t.sent_at, settings_.classes[static_cast<std::size_t>(r.cls)].window.count());
         }
       }
