Affinity by key with a bound on load, off unless a route asks for it

Need: a server that met a key lately serves it with less work, but the pick by least work spreads keys, and each proxy has its own view; a hot key must still overload nobody.

Numbers of servers are kept while a request remembers an attempt there, and of more than 8,192 that have gone for a minute only.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -110,6 +110,9 @@
   int max_attempts = 0;
   int max_in_flight = 0;    // requests that have no answer, or an attempt out; more are refused at once
   unsigned retry_on = ~0u;  // bits of RetryAfter(outcome): those after which there may be another attempt
+  // Requests of one key go to one server, the same at all proxies, while it holds at most this multiple of
+  // its even share of what this proxy has in flight (the next whole number); over it, to the next by the key.
+  double affinity_bound = 0;
   std::vector<RetryBudget> budgets;  // a repeat is paid for by the first that can; empty: not limited
 
   bool operator==(const RouteLimits&) const = default;
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -70,6 +70,11 @@
   if (limits->patience.count() > 0) add("patience=" + Shown(limits->patience));
   if (limits->second_copy_after.count() > 0) add("copy=" + Shown(limits->second_copy_after));
   if (limits->max_in_flight > 0) add("in_flight=" + std::to_string(limits->max_in_flight));
+  if (limits->affinity_bound > 0) {
+    std::ostringstream bound;
+    bound << limits->affinity_bound;
+    add("affinity=key,bound=" + bound.str());
+  }
   if (!limits->budgets.empty()) add("budgets=" + std::to_string(limits->budgets.size()));
   return text.empty() ? "the platform's" : text;
 }
@@ -264,6 +269,10 @@
   line("retry_on", Words(e.retry_on, "all that the class allows"), e.retry_on);
   line("retry_budgets", Words(e.retry_budgets, "none"), e.retry_budgets);
   line("max_in_flight", whole(e.max_in_flight, "no limit"), e.max_in_flight);
+  line("affinity", e.affinity.value ? *e.affinity.value : "none", e.affinity);
+  std::ostringstream bound;
+  bound << (e.load_bound.value ? *e.load_bound.value : routing::kLoadBound);
+  line("load_bound", bound.str(), e.load_bound);
   return 0;
 }
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "brackenspoke/balancer.h"
+#include "fleet/affinity.h"
 #include "fleet/pick_index.h"
 #include "fleet/roster.h"
 #include "fleet/subset.h"
@@ -186,6 +187,7 @@
   ServerIndex index = 0;
   double own_work = 0;  // hinted, of this proxy, in flight
   int own_count = 0;
+  int remembered = 0;        // attempts at it of requests that are not forgotten
   std::uint32_t subset = 0;  // the last subset that held it
   bool asleep = false;       // cold, and over its budget until the next sample
   OutlierDetector::Host health;
@@ -254,6 +256,9 @@
   // what it saves serves others; those over their cold budget are passed over; those it has
   // tried come last; if no server of the group is in service, an ejected one is used: never a lost request.
   Server* Pick(const Request& r, const Permission& permission) {
+    if (r.limits && r.limits->affinity_bound > 0 && r.key != 0 && !permission.group_of) {
+      if (Server* s = PickByKey(r)) return s;
+    }
     if (ring_.size() > kLookedAt) return PickOfMany(r, permission);
     bool in_service = false;  // some server is in service, though without room now
     Server* best = permission.group_of ? nullptr : PickFrom(subset_, r, permission, &in_service);
@@ -262,6 +267,24 @@
     return best;
   }
 
+  // Exception, where a route asks for it: requests of one key go to one server, which keeps what it has of
+  // it. Bounded (Mirrokni and others, 2016), so that a hot key overloads nobody: with a bound over 1 some
+  // server always has room. Whoever has no room, is out of service, or was tried, is passed over in an order
+  // that the key alone gives.
+  Server* PickByKey(const Request& r) {
+    const int in_service = std::max(1, fleet_.hosts - fleet_.ejected);
+    const double most = std::ceil(r.limits->affinity_bound * (in_flight_ + 1) / in_service);
+    Server* best = nullptr;
+    int unfit = 0;
+    kestrelline::fleet::KeyOwners(ring_, r.key).Try([&](ServerIndex i) {
+      Server& s = servers_[i];
+      if (s.health.ejected || s.own_count >= most || Tried(r, s)) return false;
+      if (FitsColdBudget(s, r.work)) best = &s;
+      return best || ++unfit >= kMostUnfit;
+    });
+    return best;
+  }
+
   // The same where servers are too many to be looked at one by one: the least work by the index, and of
   // groups and of the ring, which are the last resort, of kLookedAt by chance.
   Server* PickOfMany(const Request& r, const Permission& permission) {
@@ -589,7 +612,7 @@
     if (s.own_count == 0) s.quiet_since = now_;
     ++in_flight_;
     s.own_work += r.work;
-    ++s.own_count;
+    ++s.own_count, ++s.remembered;
     Reindex(s);
     if (WarmShare(s) < 1) {
       ColdStart& cold = cold_[IndexOf(s)];
@@ -707,6 +730,7 @@
     if (it->second.finished) Unhold(it->second);
     if (!it->second.finished || it->second.outstanding() != 0) return;
     if (it->second.limits) LeaveRoute(*it->second.limits);
+    for (const Attempt& a : it->second.attempts) --servers_[a.server].remembered;
     requests_.erase(it);
   }
 
@@ -952,7 +976,7 @@
   // A large list takes effect whole, some events later; a drain in it waits for that, far less than the rule
   // has.
   void ReadLists() {
-    const auto in_use = [this](ServerIndex i) { return i < servers_.size() && servers_[i].own_count > 0; };
+    const auto in_use = [this](ServerIndex i) { return i < servers_.size() && servers_[i].remembered > 0; };
     for (std::size_t left = kSlice; left > 0 && roster_.Waiting();) {
       const bool whole = roster_.Read(now_, in_use, &left);
       while (servers_.size() < roster_.size())
--- a/src/fleet/least_work.cpp
+++ b/src/fleet/least_work.cpp
@@ -5,36 +5,46 @@
 
 namespace kestrelline::fleet {
 void LeastWork::Resize(std::size_t members) {
-  const std::size_t old = keys_.size();
+  const std::size_t old = std::min(keys_.size(), members);
   keys_.resize(members);
-  blocks_.resize((members + kWide - 1) / kWide);
-  groups_.resize((blocks_.size() + kWide - 1) / kWide);
-  block_loose_.resize(blocks_.size(), 1);
-  group_loose_.resize(groups_.size(), 1);
-  const std::size_t from = std::min(old, members) / kWide;
-  for (std::size_t b = from; b < blocks_.size(); ++b) Tighten(b);
-  for (std::size_t g = from / kWide; g < groups_.size(); ++g) TightenGroup(g);
+  std::size_t below = members, changed = old;
+  for (std::size_t level = 0; below > 0; ++level) {
+    if (level == levels_.size()) levels_.emplace_back(), changed = 0;
+    below = (below + kWide - 1) / kWide, changed /= kWide;
+    levels_[level].nodes.resize(below);
+    levels_[level].loose.resize(below, 1);
+    for (std::size_t node = changed; node < below; ++node) Tighten(level, node);
+    if (below <= kWide) {
+      levels_.resize(level + 1);
+      return;
+    }
+  }
+  levels_.clear();
 }
 
 void LeastWork::Put(Position at, double work, double slow) {
   keys_[at] = {work, slow};
-  const std::size_t block = at / kWide, group = block / kWide;
-  const Node node = NodeOf(keys_[at]);
-  blocks_[block].TakeLower(node);
-  groups_[group].TakeLower(node);
-  block_loose_[block] = group_loose_[group] = 1;
+  const Node bounds = NodeOf(keys_[at]);
+  std::size_t node = at;
+  for (Level& level : levels_) {
+    node /= kWide;
+    level.nodes[node].TakeLower(bounds);
+    level.loose[node] = 1;
+  }
 }
 
 void LeastWork::TakeOut(Position at) {
   keys_[at] = Key();
-  block_loose_[at / kWide] = group_loose_[at / kWide / kWide] = 1;
+  std::size_t node = at;
+  for (Level& level : levels_) level.loose[node /= kWide] = 1;
 }
 
 void LeastWork::Rescale(double factor, double usual) {
   usual_ = std::max(usual, 1e-9);
   for (Key& key : keys_) key.slow *= factor;
-  for (std::size_t b = 0; b < blocks_.size(); ++b) Tighten(b);
-  for (std::size_t g = 0; g < groups_.size(); ++g) TightenGroup(g);
+  for (std::size_t level = 0; level < levels_.size(); ++level) {
+    for (std::size_t node = 0; node < levels_[level].size(); ++node) Tighten(level, node);
+  }
 }
 
 bool LeastWork::Sound() const {
@@ -46,8 +56,12 @@
     return true;
   };
   for (std::size_t i = 0; i < keys_.size(); ++i) {
-    const Node& block = blocks_[i / kWide];
-    if (!bounds(block, NodeOf(keys_[i])) || !bounds(groups_[i / kWide / kWide], block)) return false;
+    if (!bounds(levels_[0].nodes[i / kWide], NodeOf(keys_[i]))) return false;
+  }
+  for (std::size_t level = 1; level < levels_.size(); ++level) {
+    for (std::size_t n = 0; n < levels_[level - 1].size(); ++n) {
+      if (!bounds(levels_[level].nodes[n / kWide], levels_[level - 1].nodes[n])) return false;
+    }
   }
   return true;
 }
@@ -93,24 +107,24 @@
   return node;
 }
 
-void LeastWork::Tighten(std::size_t block) {
-  Node& node = blocks_[block];
-  node.Clear();
-  const std::size_t to = std::min(keys_.size(), (block + 1) * kWide);
-  for (std::size_t i = block * kWide; i < to; ++i) node.TakeLower(NodeOf(keys_[i]));
-  block_loose_[block] = 0;
-  group_loose_[block / kWide] = 1;
-}
-
-void LeastWork::TightenGroup(std::size_t group) {
-  Node& node = groups_[group];
-  node.Clear();
+void LeastWork::Tighten(std::size_t level, std::size_t node) {
+  Node& tight = levels_[level].nodes[node];
+  tight.Clear();
   bool loose = false;
-  for (std::size_t b = group * kWide; b < BlocksEnd(group); ++b) {
-    node.TakeLower(blocks_[b]);
-    loose |= block_loose_[b] != 0;
+  const std::size_t from = node * kWide;
+  if (level == 0) {
+    for (std::size_t i = from; i < std::min(keys_.size(), from + kWide); ++i)
+      tight.TakeLower(NodeOf(keys_[i]));
+  } else {
+    const Level& below = levels_[level - 1];
+    for (std::size_t n = from; n < std::min(below.size(), from + kWide); ++n) {
+      tight.TakeLower(below.nodes[n]);
+      loose |= below.loose[n] != 0;
+    }
   }
-  group_loose_[group] = loose;
+  levels_[level].loose[node] = loose;
+  if (level + 1 < levels_.size() && node / kWide < levels_[level + 1].size())
+    levels_[level + 1].loose[node / kWide] = 1;
 }
 
 }  // namespace kestrelline::fleet
--- a/src/fleet/least_work.h
+++ b/src/fleet/least_work.h
@@ -8,11 +8,12 @@
 // equal ones each has the same chance. An index only: what work and slow are, and who may be picked, the
 // owner says.
 //
-// Members stand in blocks of 16, blocks in groups of 16. A block knows the least of that sum for a few values
-// of `asked`. As the least of straight lines is concave, the chord between two of these values is a bound
-// from below for all between them: a block whose bound is no less than the best found is not looked into. A
-// bound may be too low, never too high: a key that rises leaves it, and the next pick that looks into the
-// block puts it right, so that a change costs the same whatever the number of members.
+// Members stand in blocks of 16, these in blocks of 16 of the next level, and so on up to one of at most 16.
+// A block knows the least of that sum for a few values of `asked`. As the least of straight lines is concave,
+// the chord between two of these values is a bound from below for all between them: a block whose bound is no
+// less than the best found is not looked into. A bound may be too low, never too high: a key that rises
+// leaves it, and the next pick that looks into the block puts it right, so that a change costs the same
+// whatever the number of members.
 //
 // Bounds: 16 bytes a member and 4.3 of bounds. No allocation but in Resize.
 #ifndef KESTRELLINE_FLEET_LEAST_WORK_H_
@@ -59,11 +60,7 @@
   template <typename Fits, typename Below>
   Found Least(double asked, double less_than, Fits&& fits, Below&& below) {
     Search search{WeightsOf(asked), {kNowhere, less_than}};
-    const std::size_t first = Lowest(groups_, 0, groups_.size(), search.weights);
-    if (first < groups_.size()) SearchGroup(first, search, fits, below);
-    for (std::size_t g = 0; g < groups_.size(); ++g) {
-      if (g != first && !search.Passes(groups_[g].Bound(search.weights))) SearchGroup(g, search, fits, below);
-    }
+    if (!levels_.empty()) SearchNodes(levels_.size() - 1, 0, levels_.back().size(), search, fits, below);
     if (search.crowded) DrawEvenly(search, fits, below);
     return search.best;
   }
@@ -107,23 +104,38 @@
     }
   };
 
+  struct Level {
+    std::vector<Node> nodes;
+    std::vector<std::uint8_t> loose;  // a bound may be lower than it has to be
+    std::size_t size() const { return nodes.size(); }
+  };
+
   Weights WeightsOf(double asked) const;
   static std::size_t Lowest(const std::vector<Node>& nodes, std::size_t from, std::size_t to,
                             const Weights& w);
   Node NodeOf(const Key& key) const;
-  void Tighten(std::size_t block);
-  void TightenGroup(std::size_t group);
-  std::size_t BlocksEnd(std::size_t group) const { return std::min(blocks_.size(), (group + 1) * kWide); }
+  void Tighten(std::size_t level, std::size_t node);
 
+  // Of a level's nodes, the most promising first.
   template <typename Fits, typename Below>
-  void SearchGroup(std::size_t group, Search& search, Fits& fits, Below& below) {
-    const std::size_t from = group * kWide, to = BlocksEnd(group);
-    const std::size_t first = Lowest(blocks_, from, to, search.weights);
-    if (first < to) SearchBlock(first, search, fits, below);
-    for (std::size_t b = from; b < to; ++b) {
-      if (b != first && !search.Passes(blocks_[b].Bound(search.weights))) SearchBlock(b, search, fits, below);
+  void SearchNodes(std::size_t level, std::size_t from, std::size_t to, Search& search, Fits& fits,
+                   Below& below) {
+    const std::vector<Node>& nodes = levels_[level].nodes;
+    const std::size_t first = Lowest(nodes, from, to, search.weights);
+    if (first == to) return;
+    SearchNode(level, first, search, fits, below);
+    for (std::size_t n = from; n < to; ++n) {
+      if (n != first && !search.Passes(nodes[n].Bound(search.weights)))
+        SearchNode(level, n, search, fits, below);
     }
-    if (group_loose_[group]) TightenGroup(group);
+  }
+
+  template <typename Fits, typename Below>
+  void SearchNode(std::size_t level, std::size_t node, Search& search, Fits& fits, Below& below) {
+    if (level == 0) return SearchBlock(node, search, fits, below);
+    const std::size_t from = node * kWide, to = std::min(levels_[level - 1].size(), from + kWide);
+    SearchNodes(level - 1, from, to, search, fits, below);
+    if (levels_[level].loose[node]) Tighten(level, node);
   }
 
   template <typename Fits, typename Below>
@@ -140,7 +152,7 @@
       if (search.ties > kManyTies) search.crowded = true;
       if (!tie || below(static_cast<std::uint64_t>(search.ties)) == 0) search.best = {at, score};
     }
-    if (block_loose_[block]) Tighten(block);
+    if (levels_[0].loose[block]) Tighten(0, block);
   }
 
   // Many share the best score. A draw from all members, taken if it is one of them, is even among these;
@@ -154,8 +166,9 @@
       return;
     }
     std::uint64_t ties = 0;
-    for (std::size_t b = 0; b < blocks_.size(); ++b) {
-      if (blocks_[b].Bound(search.weights) > search.best.score + std::abs(search.best.score) * kRounding)
+    for (std::size_t b = 0; b < levels_[0].size(); ++b) {
+      if (levels_[0].nodes[b].Bound(search.weights) >
+          search.best.score + std::abs(search.best.score) * kRounding)
         continue;
       const std::size_t to = std::min(keys_.size(), (b + 1) * kWide);
       for (std::size_t i = b * kWide; i < to; ++i) {
@@ -168,8 +181,7 @@
 
   double usual_ = 1;
   std::vector<Key> keys_;
-  std::vector<Node> blocks_, groups_;
-  std::vector<std::uint8_t> block_loose_, group_loose_;  // a bound may be lower than it has to be
+  std::vector<Level> levels_;  // the first bounds blocks of members
 };
 
 }  // namespace kestrelline::fleet
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -8,6 +8,8 @@
 namespace kestrelline::fleet {
 namespace {
 
+constexpr brackenspoke::Duration kForgetSoon{60000};
+
 Groups::Key ZoneKey(const ServerEntry& e) { return static_cast<std::uint32_t>(e.zone); }
 Groups::Key CellKey(const ServerEntry& e) { return ZoneKey(e) << 32 | static_cast<std::uint32_t>(e.cell); }
 
@@ -58,7 +60,9 @@
 // That of a server gone so long that no request can remember it, or a new one.
 Member Roster::NewNumber(TimePoint now, const InUse& in_use) {
   while (!gone_.empty() && !StillGone(gone_.front())) gone_.pop_front();
-  for (auto it = gone_.begin(); it != gone_.end() && now - it->first > options_.forget_after; ++it) {
+  const auto kept = gone_.size() > options_.most_gone ? std::min(options_.forget_after, kForgetSoon)
+                                                      : options_.forget_after;
+  for (auto it = gone_.begin(); it != gone_.end() && now - it->first > kept; ++it) {
     if (!StillGone(*it) || known_[it->second].in_list == list_ || in_use(it->second)) continue;
     const Member member = it->second;
     gone_.erase(it);
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -7,8 +7,9 @@
 // A server that goes keeps its number for `forget_after`, and longer while it is in use; then another may
 // have it.
 //
-// Bounds: 72 bytes for each server known, 8 for its number, 8 to 16 on rings, 8 in groups. Of lists that
-// wait, a whole one takes the place of those before it; when more than 64 wait, all are read at once.
+// Bounds: 8,192 servers that have gone, and those of the last minute; 72 bytes for each server known, 8 for
+// its number, 8 to 16 on rings, 8 in groups. Of lists that wait, a whole one takes the place of those before
+// it; when more than 64 wait, all are read at once.
 #ifndef KESTRELLINE_FLEET_ROSTER_H_
 #define KESTRELLINE_FLEET_ROSTER_H_
 
@@ -44,6 +45,8 @@
     int zone = 0;        // the own one
     bool apart = false;  // home() and away() are kept
     brackenspoke::Duration forget_after{600000};
+    // Of many that have gone those are forgotten sooner, though none within a minute.
+    std::size_t most_gone = 8192;
   };
   // What an entry of a list that has taken effect changed, in the order of the entries; servers that a whole
   // list leaves out come last.
--- a/src/routing/limits.cpp
+++ b/src/routing/limits.cpp
@@ -49,6 +49,12 @@
 }
 
 void CheckWords(const LimitsSpec& limits, Diagnostics* diagnostics) {
+  if (limits.affinity && std::find(std::begin(kAffinityWords), std::end(kAffinityWords),
+                                   limits.affinity->value) == std::end(kAffinityWords)) {
+    diagnostics->Add(limits.affinity->at, "affinity",
+                     "affinity is '" + limits.affinity->value + "'; accepted are " +
+                         operator_file::Listed({std::begin(kAffinityWords), std::end(kAffinityWords)}));
+  }
   if (!limits.retry_on) return;
   for (const auto& word : limits.retry_on->value) {
     if (WordOf(word.value)) continue;
@@ -73,7 +79,8 @@
 
 bool Effective::empty() const {
   return !attempt_timeout.value && !patience.value && !pause.value && !second_copy_after.value &&
-         !max_attempts.value && !max_in_flight.value && !retry_on.value && !retry_budgets.value;
+         !max_attempts.value && !max_in_flight.value && !affinity.value && !load_bound.value &&
+         !retry_on.value && !retry_budgets.value;
 }
 
 LimitsBook::LimitsBook(const Spec& spec, const Site& site, Diagnostics* diagnostics)
@@ -146,6 +153,8 @@
   e.second_copy_after = Choose(&LimitsSpec::second_copy_after, r, c, d);
   e.max_attempts = Choose(&LimitsSpec::max_attempts, r, c, d);
   e.max_in_flight = Choose(&LimitsSpec::max_in_flight, r, c, d);
+  e.affinity = Choose(&LimitsSpec::affinity, r, c, d);
+  e.load_bound = Choose(&LimitsSpec::load_bound, r, c, d);
   e.retry_on = Choose(&LimitsSpec::retry_on, r, c, d);
   e.retry_budgets = Choose(&LimitsSpec::retry_budgets, r, c, d);
   return e;
@@ -266,6 +275,8 @@
   out.second_copy_after = time(limits.second_copy_after);
   out.max_attempts = limits.max_attempts.value ? static_cast<int>(*limits.max_attempts.value) : 0;
   out.max_in_flight = limits.max_in_flight.value ? static_cast<int>(*limits.max_in_flight.value) : 0;
+  if (limits.affinity.value && *limits.affinity.value == "key")
+    out.affinity_bound = limits.load_bound.value ? *limits.load_bound.value : kLoadBound;
   if (limits.retry_on.value) {
     // An attempt that could not begin here for want of room is nobody's answer to repeat after or not.
     out.retry_on = RouteLimits::RetryAfter(Outcome::kMoot);
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -27,6 +27,8 @@
 struct Effective {
   Chosen<Duration> attempt_timeout, patience, pause, second_copy_after;
   Chosen<std::int64_t> max_attempts, max_in_flight;
+  Chosen<std::string> affinity;
+  Chosen<double> load_bound;
   Chosen<Names> retry_on, retry_budgets;
 
   bool empty() const;  // all of it is the platform's
@@ -61,6 +63,10 @@
   std::unordered_map<std::string_view, const BudgetSpec*> budgets_;
 };
 
+// Words of affinity, and the bound on load without one of the file's own.
+inline constexpr std::string_view kAffinityWords[] = {"key", "none"};
+inline constexpr double kLoadBound = 1.25;
+
 // A number for a name of the file: the same at every proxy and after every reload.
 std::uint64_t IdOf(std::string_view kind, std::string_view name);
 
--- a/src/routing/section.cpp
+++ b/src/routing/section.cpp
@@ -30,6 +30,9 @@
         "After what there may be another attempt: refused, connect, error, reset, timeout; [] for none."},
     Key{"retry_budgets", Kind::kTexts, "The budgets that pay for repeats; the first that can pays."},
     Key{"max_in_flight", Kind::kWhole, "The most requests at once at this proxy; more are refused at once."},
+    Key{"affinity", Kind::kText, "key: requests of one key go to one server, the same at all proxies; none."},
+    Key{"load_bound", Kind::kNumber,
+        "With affinity, the most that a server holds, of its even share; 1.25 without it."},
 };
 constexpr std::array kRouteOnlyKeys{
     Key{"name", Kind::kText, "The name of the route: each once; counts and budgets go by it.", true},
@@ -70,6 +73,8 @@
   limits.second_copy_after = table.Duration("second_copy_after");
   limits.max_attempts = table.Whole("max_attempts", 1, 255);
   limits.max_in_flight = table.Whole("max_in_flight", 1, kMostInFlight);
+  limits.affinity = table.Text("affinity");
+  limits.load_bound = table.Number("load_bound", 1.1, 100);
   limits.retry_on = table.Texts("retry_on");
   limits.retry_budgets = table.Texts("retry_budgets");
   return limits;
--- a/tests/fleet/roster_test.cpp
+++ b/tests/fleet/roster_test.cpp
@@ -176,6 +176,25 @@
   EXPECT_EQ(roster.size(), 41u);  // 19 of the 20 numbers are used again
 }
 
+// A hundred changes a second for an hour, each a new id: what is kept of those that have gone stays bounded.
+TEST(Roster, AnHourOfNewServersKeepsABoundedNumber) {
+  Roster roster({});
+  constexpr ServerId kServers = 2000;
+  roster.Take(Whole(1, kServers + 1));
+  ReadAll(&roster, 0, 10000);
+  ServerId next = kServers + 1, oldest = 1;
+  double now = 0;
+  for (int change = 0; change < 360000; ++change) {
+    now += 10;
+    ListUpdate delta{ListKind::kDelta, {Entry(next++), Entry(oldest++, 0, 0, ServerState::kGone)}};
+    roster.Take(delta);
+    std::size_t left = 512;
+    ASSERT_TRUE(roster.Read(At(now), kNoneInUse, &left));
+  }
+  EXPECT_EQ(roster.all().size(), static_cast<std::size_t>(kServers));
+  EXPECT_LT(roster.size(), kServers + 8192u + 6100u);
+}
+
 TEST(Roster, ANumberInUseIsNotGivenAway) {
   Roster roster({});
   roster.Take(Whole(1, 4));
