--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cmath>
+#include <deque>
+#include <limits>
 #include <queue>
 #include <set>
 #include <unordered_map>
@@ -23,7 +25,6 @@
 namespace brackenspoke {
 namespace {
 
-using kestrelline::fleet::Arc;
 using kestrelline::fleet::kNobody;
 using kestrelline::fleet::PickIndex;
 using kestrelline::fleet::Ring;
@@ -55,6 +56,7 @@
 constexpr double kRetryRatio = 0.1;         // repeats a first send earns: bounds a storm to a tenth
 constexpr double kRetryBurst = 20;          // repeats in store
 constexpr double kDeviations = 4;           // time-out: mean + 4 deviations, as RFC 6298
+constexpr double kLeastScale = 0.5;         // of the time of a class, for a request of no work
 constexpr double kPauseSpread = 0.25;       // part of a pause that chance may take off: not all in step
 constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
 constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
@@ -184,15 +186,14 @@
 };
 
 struct Server {
-  ServerIndex index = 0;
   double own_work = 0;  // hinted, of this proxy, in flight
   int own_count = 0;
-  int remembered = 0;        // attempts at it of requests that are not forgotten
-  std::uint32_t subset = 0;  // the last subset that held it
-  bool asleep = false;       // cold, and over its budget until the next sample
+  int remembered = 0;  // attempts at it of requests that are not forgotten
+  ServerIndex index = 0;
+  std::uint32_t subset : 31 = 0;  // the last subset that held it
+  std::uint32_t asleep : 1 = 0;   // cold, and over its budget until the next sample
   OutlierDetector::Host health;
-  double slowness = 1;  // time of its answers over what the fleet takes for the like
-  TimePoint slowness_at{};
+  double excess = 0;  // time of its answers over what the fleet takes for the like, less 1; see SlownessOf
   TimePoint quiet_since{};
 };
 
@@ -218,6 +219,7 @@
   void Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
     now_ = now;
     out_ = actions;
+    Fade();
     if (indexed_) index_of_work_.Refresh(now_, request_work_.mean);
     std::visit([this](const auto& e) { On(e); }, event);
     if (roster_.Waiting()) ReadLists();  // first: a list may forbid what is due
@@ -229,7 +231,7 @@
 
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
-  const ServerEntry& EntryOf(const Server& s) const { return roster_[IndexOf(s)]; }
+  const kestrelline::fleet::Seat& EntryOf(const Server& s) const { return roster_[IndexOf(s)]; }
   bool Usable(const Server& s) const { return EntryOf(s).state == ServerState::kReady; }
 
   ServerIndex IndexOf(const Server& s) const { return s.index; }
@@ -337,7 +339,7 @@
     };
     // Those that met the key are few; what they save may put them before the least.
     double least = best == kNobody ? kNever.time_since_epoch().count() : score(best);
-    key_memory_.ForEachWarm(r.key, now_, [&](ServerIndex i) {
+    key_memory_.Of(r.key, now_).ForEach([&](ServerIndex i) {
       if (!may(i) || Tried(r, servers_[i]) || !FitsColdBudget(servers_[i], r.work)) return;
       const double saved = score(i) - kWarmWeight * r.work;
       if (saved < least) least = saved, best = i;
@@ -361,13 +363,14 @@
   void Reindex(const Server& s) {
     if (!indexed_) return;
     if (s.health.ejected || s.asleep || !Usable(s)) return index_of_work_.Hide(IndexOf(s));
-    index_of_work_.Set(IndexOf(s), s.own_work, s.slowness - 1, s.slowness_at);
+    index_of_work_.Set(IndexOf(s), s.own_work, s.excess * fade_, now_);
   }
 
   template <typename Servers>
   Server* PickFrom(const Servers& from, const Request& r, const Permission& permission, bool* in_service) {
     const bool home_first = settings_.price_cross_zone > 0 && random_.Unit() < home_first_;
     const double crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
+    const KeyMemory::Servers warm = key_memory_.Of(r.key, now_);
     Server* best = nullptr;
     int best_rank = 0;
     double best_score = 0;
@@ -384,10 +387,9 @@
       }
       const int rank = 2 * s.health.ejected + Tried(r, s);
       const bool crosses = EntryOf(s).zone != settings_.zone;
-      const double score =
-          s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
-          (r.key != 0 && key_memory_.Warm(r.key, IndexOf(s), now_) ? kWarmWeight * r.work : 0) +
-          (crosses && home_first ? crossing : 0);
+      const double score = s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
+                           (warm.Has(IndexOf(s)) ? kWarmWeight * r.work : 0) +
+                           (crosses && home_first ? crossing : 0);
       if (best && (rank > best_rank || (rank == best_rank && score > best_score))) continue;
       const bool tie = best && rank == best_rank && score == best_score;
       ties = tie ? ties + 1 : 1;
@@ -411,8 +413,8 @@
     subset_.clear(), entering_.clear();
     subset_in_service_ = 0;
     const bool apart = settings_.price_cross_zone > kWorthStaying;
-    if (apart) AddArc(roster_.home(), &home_arc_);
-    AddArc(apart ? roster_.away() : ring_, &away_arc_);
+    if (apart) AddArc(roster_.home());
+    AddArc(apart ? roster_.away() : ring_);
     const bool index = subset_.size() > kLookedAt;
     if (index && !indexed_) index_of_work_.Refresh(now_, request_work_.mean);
     for (const ServerIndex i : before) {
@@ -460,8 +462,9 @@
   }
   bool AimsAtAll() const { return SubsetAim() >= ring_.size(); }
 
-  void AddArc(const Ring& ring, Arc* arc) {
-    const std::size_t size = SubsetAim(), begin = arc->Begin(ring, settings_.me, size);
+  void AddArc(const Ring& ring) {
+    const std::size_t size = SubsetAim(),
+                      begin = kestrelline::fleet::ArcBegin(ring, settings_.me, settings_.balancers);
     std::size_t in_service = 0;
     for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
       const ServerIndex i = ring[(begin + k) % ring.size()];
@@ -598,7 +601,7 @@
   double WorkScale(const Request& r) const {
     const double mean = classes_[r.cls].work.mean;
     const double ratio = mean > 0 ? r.work / mean : 1;
-    return ratio > 1 ? ratio : 0.5 + 0.5 * ratio;
+    return ratio > 1 ? ratio : kLeastScale + (1 - kLeastScale) * ratio;
   }
 
   void Send(Request& r, Server& s) {
@@ -624,6 +627,7 @@
     attempt.server = IndexOf(s);
     attempt.sent_at = now_;
     r.attempts.push_back(attempt);
+    sent_.emplace_back(now_, r.id);
     out_->push_back(Dispatch{r.id, EntryOf(s).server, timeout});
     if (r.limits) NoteSent(r, first);
   }
@@ -693,9 +697,8 @@
       Spread& seen = classes_[r.cls].latency;
       seen.Add(took / WorkScale(r));
       const double relative = std::min(kMostSlowness, took / WorkScale(r) / std::max(seen.mean, 1e-9));
-      s.slowness = SlownessOf(s);
-      s.slowness += kSlownessGain * (relative - s.slowness);
-      s.slowness_at = now_;
+      const double slowness = SlownessOf(s);
+      s.excess = (slowness + kSlownessGain * (relative - slowness) - 1) / fade_;
     }
     if (timed && stretch_ > 0 && took > 0) {
       const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
@@ -721,10 +724,16 @@
     }
   }
 
-  // What is not confirmed is forgotten.
-  double SlownessOf(const Server& s) const {
-    return 1 + (s.slowness - 1) * std::exp((s.slowness_at - now_) / kSlownessMemory);
+  // What is not confirmed is forgotten: all slowness fades at one rate, so it is kept as of one moment, and
+  // one factor makes it what it is now. That moment is moved on before numbers become too large.
+  void Fade() {
+    fade_ = std::exp((faded_since_ - now_) / kSlownessMemory);
+    if (now_ - faded_since_ < kSlownessMemory * 10) return;
+    for (std::size_t i = 0; i < servers_.size(); ++i) servers_[i].excess *= fade_;
+    faded_since_ = now_;
+    fade_ = 1;
   }
+  double SlownessOf(const Server& s) const { return 1 + s.excess * fade_; }
 
   void Forget(std::unordered_map<RequestId, Request>::iterator it) {
     if (it->second.finished) Unhold(it->second);
@@ -809,18 +818,41 @@
 
   // Attempts whose answers stay away take no server's time. Where connections fell silent, a dozen of them
   // held all of the places that FitsProxy gives, and half of the requests were refused by an idle fleet.
+  // Attempts wait in the order in which they were sent until they are old enough to be overdue at all.
   void FindOverdue() {
-    for (auto& [id, r] : requests_) {
-      const Spread& seen = classes_[r.cls].latency;
-      if (seen.samples < 10) continue;
-      const Duration unlikely((seen.mean + kDeviations * seen.deviation) * WorkScale(r));
+    Duration least(std::numeric_limits<double>::infinity());
+    const auto unlikely = [this](int cls) {
+      const Spread& seen = classes_[cls].latency;
+      return Duration(seen.mean + kDeviations * seen.deviation);
+    };
+    for (std::size_t c = 0; c < classes_.size(); ++c) {
+      if (classes_[c].latency.samples >= 10)
+        least = std::min(least, unlikely(static_cast<int>(c)) * kLeastScale);
+    }
+    for (; !sent_.empty(); sent_.pop_front()) {
+      if (now_ - sent_.front().first >= least) {
+        aged_.push_back(sent_.front().second);
+      } else if (requests_.count(sent_.front().second)) {
+        break;
+      }
+    }
+    std::erase_if(aged_, [&](RequestId id) {
+      const auto found = requests_.find(id);
+      if (found == requests_.end()) return true;
+      Request& r = found->second;
+      bool waits = false;
       for (Attempt& a : r.attempts) {
-        if (!a.outstanding || a.overdue || now_ - a.sent_at < unlikely) continue;
+        if (!a.outstanding || a.overdue) continue;
+        if (classes_[r.cls].latency.samples < 10 || now_ - a.sent_at < unlikely(r.cls) * WorkScale(r)) {
+          waits = true;
+          continue;
+        }
         a.overdue = true;
         ++overdue_;
         room_ = true;
       }
-    }
+      return !waits;
+    });
   }
 
   // In flight at the least, which with many proxies bounds what servers hold: fewer, the more crowded they
@@ -980,7 +1012,7 @@
     for (std::size_t left = kSlice; left > 0 && roster_.Waiting();) {
       const bool whole = roster_.Read(now_, in_use, &left);
       while (servers_.size() < roster_.size())
-        servers_.emplace_back().index = static_cast<ServerIndex>(servers_.size() - 1);
+        servers_.Add().index = static_cast<ServerIndex>(servers_.size() - 1);
       if (whole) ListTookEffect();
     }
   }
@@ -1002,6 +1034,7 @@
       cold_.erase(index);
       if (WarmShare(s) < 1) cold_[index] = {{}, now_, random_.Unit()};
     }
+    roster_.DropChanges();
     CountCapacity();
     // Where the index has all servers it is the changes alone that move in and out.
     if (!all || ring_.size() <= kLookedAt) BuildSubset();
@@ -1150,12 +1183,13 @@
       returns_;  // of those ejected
   Roster roster_;
   const Ring& ring_ = roster_.all();  // servers ready, by their place
-  Arc home_arc_, away_arc_;
-  std::vector<ServerIndex> subset_;  // those picked from; empty while the index has them
-  bool indexed_ = false;             // they are more than are looked at one by one
-  bool indexes_all_ = false;         // the index has all servers ready, or they are about to join it
+  std::vector<ServerIndex> subset_;   // those picked from; empty while the index has them
+  bool indexed_ = false;              // they are more than are looked at one by one
+  bool indexes_all_ = false;          // the index has all servers ready, or they are about to join it
   PickIndex index_of_work_{kSlownessMemory};
   std::size_t subset_in_service_ = 0;
+  TimePoint faded_since_{};
+  double fade_ = 1;                    // of slowness, since then
   std::vector<ServerIndex> entering_;  // of the subset, not in the index yet
   boost::unordered_flat_map<ServerIndex, ColdStart> cold_;
   std::vector<ServerIndex> asleep_;  // until the next sample
@@ -1164,6 +1198,8 @@
   KeyMemory key_memory_{kKeyMemory};
   std::unordered_map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
+  std::deque<std::pair<TimePoint, RequestId>> sent_;  // attempts too young to be overdue
+  std::vector<RequestId> aged_;                       // those that may be, and are out
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::unordered_map<std::uint64_t, int> open_by_route_;
   std::unordered_map<std::uint64_t, RepeatWindow> budgets_;  // by id; without traffic for a window, forgotten
--- a/src/fleet/groups.h
+++ b/src/fleet/groups.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fleet/pick_index.h"
+#include "fleet/table.h"
 
 namespace kestrelline::fleet {
 
@@ -25,7 +26,7 @@
   }
   // A member is in one group at the most, and leaves the one that it is in.
   void Add(Number group, Member member) {
-    if (member >= places_.size()) places_.resize(member + 1);
+    places_.Widen(member + 1);
     places_[member] = static_cast<std::uint32_t>(groups_[group].size());
     groups_[group].push_back(member);
   }
@@ -41,7 +42,7 @@
  private:
   boost::unordered_flat_map<Key, Number> numbers_;
   std::vector<std::vector<Member>> groups_;
-  std::vector<std::uint32_t> places_;  // by member: where in its group
+  Table<std::uint32_t> places_;  // by member: where in its group
 };
 
 }  // namespace kestrelline::fleet
--- a/src/fleet/pick_index.cpp
+++ b/src/fleet/pick_index.cpp
@@ -10,7 +10,7 @@
 
 void PickIndex::Enter(Member member, Side side) {
   if (Has(member)) return;
-  if (member >= places_.size()) places_.resize(member + 1, kOut);
+  places_.Widen(member + 1, kOut);
   auto& members = members_[side];
   auto& empty = empty_[side];
   if (empty.empty()) {
--- a/src/fleet/pick_index.h
+++ b/src/fleet/pick_index.h
@@ -19,6 +19,7 @@
 
 #include "brackenspoke/balancer.h"
 #include "fleet/least_work.h"
+#include "fleet/table.h"
 
 namespace kestrelline::fleet {
 
@@ -107,7 +108,7 @@
 
   Duration memory_;
   TimePoint since_{};                                      // the moment that excesses in keys are of
-  std::vector<std::uint32_t> places_;                      // by member
+  Table<std::uint32_t> places_;                            // by member
   std::array<std::vector<Member>, 2> members_;             // by position
   std::array<std::vector<LeastWork::Position>, 2> empty_;  // positions to be used again
   std::array<LeastWork, 2> keys_;
--- a/src/fleet/ring.h
+++ b/src/fleet/ring.h
@@ -43,6 +43,8 @@
                    spots_.end());
     }
     if (joining.empty()) return;
+    // Exactly, where much joins: half of a large ring would stand empty.
+    if (joining.size() > spots_.size() / 8) spots_.reserve(spots_.size() + joining.size());
     const auto old = static_cast<std::ptrdiff_t>(spots_.size());
     spots_.insert(spots_.end(), joining.begin(), joining.end());
     std::inplace_merge(spots_.begin(), spots_.begin() + old, spots_.end());
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr brackenspoke::Duration kForgetSoon{60000};
+constexpr std::size_t kFewChanges = 1024;
 
 Groups::Key ZoneKey(const ServerEntry& e) { return static_cast<std::uint32_t>(e.zone); }
 Groups::Key CellKey(const ServerEntry& e) { return ZoneKey(e) << 32 | static_cast<std::uint32_t>(e.cell); }
@@ -68,13 +69,10 @@
     gone_.erase(it);
     numbers_.erase(known_[member].entry.server);
     known_[member] = Known();
-    known_[member].entry.state = ServerState::kGone;
     known_[member].gone_since = now;
     return member;
   }
-  known_.emplace_back();
-  known_.back().entry.state = ServerState::kGone;
-  known_.back().gone_since = now;
+  known_.Add().gone_since = now;
   return static_cast<Member>(known_.size() - 1);
 }
 
@@ -89,7 +87,7 @@
       Ungroup(change.member);
       known.zone_group = change.zone_group, known.cell_group = change.cell_group;
     }
-    known.entry = entry;
+    known.entry = {entry.server, entry.zone, entry.cell, entry.state, entry.up_since};
     if (entry.state == ServerState::kGone && (change.before != entry.state || change.placed))
       NoteGone(now, change.member);
     Move(change.member);
@@ -148,6 +146,12 @@
   }
 }
 
+void Roster::DropChanges() {
+  if (changes_.capacity() <= kFewChanges) return;
+  std::vector<Change>().swap(changes_);
+  std::vector<Spot>().swap(staged_spots_);
+}
+
 void Roster::Ungroup(Member member) {
   Known& known = known_[member];
   if (!std::exchange(known.grouped, false)) return;
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -13,7 +13,6 @@
 #ifndef KESTRELLINE_FLEET_ROSTER_H_
 #define KESTRELLINE_FLEET_ROSTER_H_
 
-#include <boost/container/deque.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
 #include <deque>
@@ -24,6 +23,7 @@
 #include "brackenspoke/balancer.h"
 #include "fleet/groups.h"
 #include "fleet/ring.h"
+#include "fleet/table.h"
 
 namespace kestrelline::fleet {
 
@@ -34,10 +34,13 @@
 using brackenspoke::ServerState;
 using brackenspoke::TimePoint;
 
-// Grows without moving what it holds: a table of 10,000 is not copied within one event.
-template <typename T>
-using Table =
-    boost::container::deque<T, void, boost::container::deque_options_t<boost::container::block_size<1024u>>>;
+// What is kept of an entry: what decisions are made of.
+struct Seat {
+  ServerId server = 0;
+  int zone = 0, cell = 0;
+  ServerState state = ServerState::kGone;
+  TimePoint up_since{};
+};
 
 class Roster {
  public:
@@ -69,9 +72,11 @@
   bool Read(TimePoint now, const InUse& in_use, std::size_t* left);
   // Of the list that took effect, until more is read.
   const std::vector<Change>& changes() const { return changes_; }
+  // Gives the memory of a large one back.
+  void DropChanges();
 
   std::size_t size() const { return known_.size(); }  // numbers given, those of servers gone included
-  const ServerEntry& operator[](Member member) const { return known_[member].entry; }
+  const Seat& operator[](Member member) const { return known_[member].entry; }
   bool Ready(Member member) const { return known_[member].entry.state == ServerState::kReady; }
 
   // Those ready: all, those of the own zone, those of others.
@@ -87,7 +92,7 @@
   static constexpr std::size_t kMostWaiting = 64;
 
   struct Known {
-    ServerEntry entry;
+    Seat entry;
     TimePoint gone_since{};
     std::uint32_t place = 0;    // on the rings: a hash of its id
     std::uint32_t in_list = 0;  // the last list that named it, by its number
--- a/src/fleet/subset.h
+++ b/src/fleet/subset.h
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
-#include <optional>
+#include <cstdint>
 
 #include "fleet/ring.h"
 
@@ -21,8 +21,8 @@
 constexpr double kMostSharers = 64;   // proxies that hold a connection to one server
 constexpr std::size_t kLarge = 64;    // servers; of more, each has to be reached by some proxies
 constexpr double kLeastSharers = 8;   // that reach a server of a large fleet
+constexpr double kLongArc = 32;       // of so many servers chance of their places evens out
 constexpr double kMostUnasked = 128;  // servers that a proxy uses though its traffic does not ask for so many
-constexpr double kSlack = 0.125;      // of the subset, by which an arc may stand off its place
 
 // How many servers in service a proxy uses, of `servers` that `proxies` share, where its traffic can judge
 // `judged`.
@@ -33,31 +33,18 @@
   return std::max(judged, static_cast<std::size_t>(size));
 }
 
-// Where the arc of one proxy begins. Its place is a share of the ring, counted in servers, so that each
-// server has as many proxies as the next. In a large fleet each server that joins or goes would move half of
-// all proxies on by one: there the arc keeps the spot at which it begins until that is off its place by
-// kSlack of its size.
-class Arc {
- public:
-  std::size_t Begin(const Ring& ring, int proxy, std::size_t size) {
-    if (ring.size() == 0) return 0;
-    const double turns = proxy * kGoldenRatio;
-    const auto place =
-        static_cast<std::size_t>((turns - std::floor(turns)) * static_cast<double>(ring.size()));
-    if (ring.size() <= kLarge) return place;
-    if (kept_) {
-      const std::size_t now = ring.At(*kept_);
-      const std::size_t off = now > place ? now - place : place - now;
-      if (static_cast<double>(std::min(off, ring.size() - off)) <= kSlack * static_cast<double>(size))
-        return now;
-    }
-    kept_ = ring.PlaceOf(place);
-    return place;
-  }
-
- private:
-  std::optional<std::uint32_t> kept_;
-};
+// Where the arc of proxy `me` begins, as a number on the ring: at its share of the ring. Where arcs are short
+// that is counted in servers, so that each server has as many proxies as the next. Each that joins or goes
+// then moves half of all proxies on by one; where arcs are long it is counted in places, and nothing moves
+// but next to the change.
+inline std::size_t ArcBegin(const Ring& ring, int me, int proxies) {
+  if (ring.size() == 0) return 0;
+  const double turns = me * kGoldenRatio, share = turns - std::floor(turns);
+  const auto servers = static_cast<double>(ring.size());
+  return kLeastSharers * servers / proxies < kLongArc
+             ? static_cast<std::size_t>(share * servers)
+             : ring.At(static_cast<std::uint32_t>(share * 4294967296.0));
+}
 
 }  // namespace kestrelline::fleet
 
--- a/src/load/ledger.h
+++ b/src/load/ledger.h
@@ -104,6 +104,7 @@
     std::vector<Violation> violations;
     bool clean() const { return complete && violations.empty(); }
   };
+  bool broken() const { return !verdict_.violations.empty(); }
   // Judges what has no answer yet as of `at`, the end of the run.
   Verdict Finish(Microseconds at);
 
--- /dev/null
+++ b/src/sim/scenario.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What is simulated: a site and a plan of load, as kestrelfleet and kestrelload read them, and what sockets
+// bring along by themselves and a simulation has to be told.
+#ifndef KESTRELLINE_SIM_SCENARIO_H_
+#define KESTRELLINE_SIM_SCENARIO_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+#include "load/plan.h"
+#include "sim/kernel.h"
+#include "standin/site.h"
+
+namespace kestrelline::sim {
+
+struct Network {
+  Microseconds client{150};    // one way, from a client to its proxy
+  Microseconds server{150};    // one way, from a proxy to a server of its zone
+  Microseconds across{500};    // more, between zones
+  Microseconds jitter{50};     // at most, of each message
+  Microseconds list{500};      // from discovery to a proxy
+  Microseconds proxy{100};     // what a proxy spends on a message: it has no core of its own here
+  double connection_ms = 0.4;  // of work, that a new connection costs a server
+};
+
+struct Scenario {
+  standin::SiteSpec site;
+  load::Plan plan;  // its targets are the proxies of the site
+  Network network;
+  std::uint64_t seed = 1;  // of the order of events, delays and chance in the proxies; load has the plan's,
+                           // and faults and work the site's
+  bool hints = false;      // clients say what their requests cost
+  // A proxy is told this of itself and the platform; empty: as ProxyConfig has it.
+  std::function<void(brackenspoke::Settings*)> adjust;
+};
+
+}  // namespace kestrelline::sim
+
+#endif  // KESTRELLINE_SIM_SCENARIO_H_
--- a/src/standin/site.h
+++ b/src/standin/site.h
@@ -53,11 +53,15 @@
   load::RuleFigures Rules() const;
 };
 
-inline constexpr std::size_t kMostConverters = 500;
-inline constexpr int kMostProxies = 20;
+// What a site may have: on sockets each converter has an address for each proxy.
+struct SiteBounds {
+  std::size_t converters = 500;
+  int proxies = 20;
+};
 
 // Nothing, and why in `diagnostics`, unless all of it is right.
-std::optional<SiteSpec> ReadSite(std::string_view text, operator_file::Diagnostics* diagnostics);
+std::optional<SiteSpec> ReadSite(std::string_view text, operator_file::Diagnostics* diagnostics,
+                                 SiteBounds bounds = {});
 
 // The configuration of proxy `me`, as ROUTER_CONFIG wants it. Addresses are "ADDRESS:PORT".
 nlohmann::json ProxyConfig(const SiteSpec& site, int me, const std::string& listen,
--- a/tests/fleet/pick_index_test.cpp
+++ b/tests/fleet/pick_index_test.cpp
@@ -150,7 +150,11 @@
     index.Set(m, m % every ? 20.0 : 0.0, 0, now);
   }
   std::vector<int> seen((all + every - 1) / every);
+#ifdef __SANITIZE_ADDRESS__
+  const int each = 5;
+#else
   const int each = 20;
+#endif
   for (int pick = 0; pick < each * static_cast<int>(seen.size()); ++pick) {
     const Member found = index.Least(
         now, 20, 0, [](Member) { return true; }, [&](std::uint64_t n) { return draw() % n; });
--- /dev/null
+++ b/tests/sim/simulation_test.cpp
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The site in virtual time: one history for one seed, the four rules kept through the rehearsal's faults, and
+// each rule's breach found where what guards it is taken away.
+#include "sim/simulation.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sim/shrink.h"
+#include "standin/site.h"
+
+namespace kestrelline::sim {
+namespace {
+
+using brackenspoke::Action;
+using brackenspoke::Event;
+
+std::string Read(const std::string& path) {
+  std::ifstream in(std::string(SOURCE_PATH) + "/" + path);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// The rehearsal's site and load, for `seconds`.
+Scenario Rehearsal(double seconds, std::uint64_t seed) {
+  operator_file::Diagnostics diagnostics("rehearsal");
+  auto site = standin::ReadSite(Read("deploy/rehearsal.site.toml"), &diagnostics);
+  auto plan = load::ReadPlan(Read("deploy/rehearsal.load.toml"), &diagnostics);
+  EXPECT_TRUE(site && plan);
+  Scenario scenario;
+  scenario.site = std::move(*site);
+  scenario.plan = std::move(*plan);
+  scenario.plan.mixture.seconds = seconds;
+  scenario.seed = seed;
+  return scenario;
+}
+
+std::string Violations(const Report& report) {
+  std::string all;
+  for (const auto& v : report.verdict.violations) {
+    all += std::string(load::NameOf(v.rule)) + " " + v.subject + ": " + v.text + '\n';
+    for (const auto& line : v.history) all += "    " + line + '\n';
+  }
+  return all;
+}
+
+TEST(Simulation, OneSeedHasOneHistoryOnAnyThread) {
+  const Scenario scenario = Rehearsal(8, 42);
+  const Report first = Simulation(scenario, {}).Run();
+  EXPECT_GT(first.results.total(), 1500u);
+  std::vector<std::uint64_t> histories(4);
+  std::vector<std::thread> threads;
+  for (auto& history : histories)
+    threads.emplace_back([&] { history = Simulation(scenario, {}).Run().history; });
+  for (auto& thread : threads) thread.join();
+  for (const auto history : histories) EXPECT_EQ(history, first.history);
+  EXPECT_NE(Simulation(Rehearsal(8, 43), {}).Run().history, first.history);
+}
+
+TEST(Simulation, TheRehearsalKeepsTheFourRules) {
+#ifdef __SANITIZE_ADDRESS__
+  constexpr std::uint64_t kSeeds = 1;
+#else
+  constexpr std::uint64_t kSeeds = 8;
+#endif
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    const Scenario scenario = Rehearsal(60, seed);
+    const Report report = Simulation(scenario, {}).Run();
+    EXPECT_TRUE(report.verdict.clean()) << Violations(report);
+    EXPECT_GT(report.results.total(), 20000u);
+    EXPECT_GT(static_cast<double>(report.results.Count(load::Outcome::kServed)),
+              0.98 * static_cast<double>(report.results.total()));
+  }
+}
+
+// Breaks what `tamper` guards; the rule that is found broken first, by name.
+std::string FirstBroken(const Scenario& scenario, Simulation::Options options) {
+  const Report report = Simulation(scenario, std::move(options)).Run();
+  EXPECT_TRUE(report.stopped);
+  if (report.verdict.violations.empty()) return "none";
+  EXPECT_FALSE(report.verdict.violations.front().history.empty() &&
+               report.verdict.violations.front().rule == load::Rule::kNoneLost);
+  return std::string(load::NameOf(report.verdict.violations.front().rule));
+}
+
+TEST(Simulation, ALostRequestIsFound) {
+  int answers = 0;
+  Simulation::Options options;
+  options.tamper_with_actions = [&](std::vector<Action>* actions) {
+    std::erase_if(*actions, [&](const Action& action) {
+      const bool last = std::holds_alternative<brackenspoke::Refuse>(action) ||
+                        std::holds_alternative<brackenspoke::Fail>(action);
+      return last && ++answers % 2 == 0;
+    });
+  };
+  Scenario scenario = Rehearsal(30, 1);
+  for (auto& converter : scenario.site.converters) converter.speed = 0.2;  // overloaded: much is refused
+  EXPECT_EQ(FirstBroken(scenario, options), load::NameOf(load::Rule::kNoneLost));
+}
+
+TEST(Simulation, AnEffectTwiceIsFound) {
+  Simulation::Options options;
+  options.tamper_with_event = [](Event* event) {  // the module believes that what broke never ran
+    auto* end = std::get_if<brackenspoke::AttemptEnded>(event);
+    if (end &&
+        (end->outcome == brackenspoke::Outcome::kReset || end->outcome == brackenspoke::Outcome::kTimeout))
+      end->outcome = brackenspoke::Outcome::kConnectFailed;
+  };
+  EXPECT_EQ(FirstBroken(Rehearsal(60, 1), options), load::NameOf(load::Rule::kNoEffectTwice));
+}
+
+TEST(Simulation, ADrainThatIsNotKeptIsFound) {
+  Simulation::Options options;
+  options.tamper_with_event = [](Event* event) {  // no list says that a server drains
+    if (auto* list = std::get_if<brackenspoke::ListUpdate>(event)) {
+      for (auto& entry : list->entries) {
+        if (entry.state == brackenspoke::ServerState::kDraining)
+          entry.state = brackenspoke::ServerState::kReady;
+      }
+    }
+  };
+  EXPECT_EQ(FirstBroken(Rehearsal(60, 1), options), load::NameOf(load::Rule::kDrainsKept));
+}
+
+TEST(Simulation, AColdServerPushedOverIsFound) {
+  Simulation::Options options;
+  options.tamper_with_event = [](Event* event) {  // every server seems to have been up for long
+    if (auto* list = std::get_if<brackenspoke::ListUpdate>(event)) {
+      for (auto& entry : list->entries) entry.up_since = brackenspoke::TimePoint();
+    }
+  };
+  Scenario scenario = Rehearsal(40, 1);
+  for (auto& converter : scenario.site.converters) converter.speed = 0.4;
+  scenario.site.cold_from = 0.05;
+  scenario.site.warm_up = Microseconds(60000000);
+  scenario.site.fall_multiple = 1.2;
+  scenario.site.faults.clear();
+  scenario.site.faults.push_back(
+      {Microseconds(10000000), standin::Fault::Kind::kReplace, "s-05", Microseconds(2000000), 0});
+  EXPECT_EQ(FirstBroken(scenario, options), load::NameOf(load::Rule::kNoneColdPushedOver));
+}
+
+TEST(Simulation, WhatBreaksIsShrunk) {
+  const std::function<bool(const Scenario&)> fails = [](const Scenario& scenario) {
+    Simulation::Options options;
+    options.tamper_with_event = [](Event* event) {
+      if (auto* list = std::get_if<brackenspoke::ListUpdate>(event)) {
+        for (auto& entry : list->entries) {
+          if (entry.state == brackenspoke::ServerState::kDraining)
+            entry.state = brackenspoke::ServerState::kReady;
+        }
+      }
+    };
+    return !Simulation(scenario, options).Run().verdict.violations.empty();
+  };
+  Scenario scenario = Rehearsal(18, 1);
+  ASSERT_TRUE(fails(scenario));
+  const Shrunk shrunk = Shrink(scenario, fails, 60);
+  EXPECT_TRUE(fails(shrunk.scenario));
+  ASSERT_EQ(shrunk.scenario.site.faults.size(), 1u);  // of 18
+  EXPECT_EQ(shrunk.scenario.site.faults.front().kind, standin::Fault::Kind::kDrain);
+  EXPECT_LT(shrunk.scenario.site.converters.size(), 8u);
+  EXPECT_LE(shrunk.scenario.plan.mixture.seconds, 10);
+}
+
+// More work than there ever is time for: queues end where their bounds are, and every request has its answer.
+TEST(Simulation, ASiteOverloadedWithoutEndAnswersAll) {
+  Scenario scenario = Rehearsal(15, 3);
+  for (auto& converter : scenario.site.converters) converter.speed = 0.05;
+  const Report report = Simulation(scenario, {}).Run();
+  EXPECT_TRUE(report.verdict.clean()) << Violations(report);
+  EXPECT_GT(report.results.Count(load::Outcome::kRefused), 1000u);
+}
+
+}  // namespace
+}  // namespace kestrelline::sim
--- /dev/null
+++ b/tools/kestrelsim/main.cpp
@@ -0,0 +1,221 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A site and a plan of load in virtual time.
+//
+//   kestrelsim run SITE PLAN [--seed N] [--runs N] [--json FILE] [--events FILE] [--hints] [--no-audit]
+//   kestrelsim explain SITE PLAN --request ID [--seed N]
+//   kestrelsim shrink SITE PLAN [--seed N]
+//
+// SITE and PLAN are those of kestrelfleet and kestrelload; a plan's targets are the site's proxies. A breach
+// of a rule ends a run with its seed, its time and the history of the request.
+//
+// Exit codes: 0; 1 if a file is refused or something cannot be written; 2 for wrong arguments; 4 if a rule
+// was broken.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "load/events.h"
+#include "load/plan.h"
+#include "operator/read_file.h"
+#include "sim/shrink.h"
+#include "sim/simulation.h"
+#include "standin/site.h"
+
+namespace {
+
+using namespace kestrelline;
+
+constexpr int kBad = 1, kBroken = 4;
+constexpr standin::SiteBounds kBounds{100000, 10000};
+
+struct Arguments {
+  std::string site, plan, json, events, request;
+  std::uint64_t seed = 1;
+  int runs = 1;
+  bool hints = false, no_audit = false;
+};
+
+template <typename Read>
+auto Load(const std::string& path, Read read) -> decltype(read("", nullptr)) {
+  operator_file::Diagnostics diagnostics(path);
+  const auto text = operator_file::ReadWhole(path, operator_file::kMostFileBytes, &diagnostics);
+  auto loaded = text ? read(*text, &diagnostics) : std::nullopt;
+  for (const auto& line : diagnostics.Lines()) std::fprintf(stderr, "%s\n", line.c_str());
+  return loaded;
+}
+
+std::optional<sim::Scenario> ScenarioOf(const Arguments& arguments) {
+  auto site = Load(arguments.site, [](std::string_view text, operator_file::Diagnostics* d) {
+    return standin::ReadSite(text, d, kBounds);
+  });
+  auto plan = Load(arguments.plan, [](std::string_view text, operator_file::Diagnostics* d) {
+    return load::ReadPlan(text, d);
+  });
+  if (!site || !plan) return std::nullopt;
+  for (const auto& c : plan->classes) {
+    if (std::any_of(site->classes.begin(), site->classes.end(),
+                    [&](const auto& s) { return s.name == c.name; }))
+      continue;
+    std::fprintf(stderr, "%s: class '%s' is none of %s\n", arguments.plan.c_str(), c.name.c_str(),
+                 arguments.site.c_str());
+    return std::nullopt;
+  }
+  sim::Scenario scenario;
+  scenario.site = std::move(*site);
+  scenario.plan = std::move(*plan);
+  scenario.seed = arguments.seed;
+  scenario.hints = arguments.hints;
+  return scenario;
+}
+
+double Seconds(sim::Microseconds at) { return static_cast<double>(at.count()) / 1e6; }
+
+bool Run(const sim::Scenario& scenario, const Arguments& arguments, std::optional<load::Results>* all) {
+  std::ofstream file;
+  std::unique_ptr<load::EventWriter> writer;
+  const load::RuleFigures figures = scenario.site.Rules();
+  sim::Simulation::Options options;
+  options.audit = !arguments.no_audit;
+  if (!arguments.events.empty()) {
+    file.open(arguments.events);
+    writer = std::make_unique<load::EventWriter>(file, &figures);
+    options.on_event = [&](const load::Event& event) { writer->Add(event); };
+  }
+  const bool terminal = isatty(STDERR_FILENO);
+  if (terminal) {
+    options.on_progress = [](sim::Microseconds at) { std::fprintf(stderr, "\r%.0f s ", Seconds(at)); };
+  }
+  const auto begun = std::chrono::steady_clock::now();
+  sim::Report report = sim::Simulation(scenario, options).Run();
+  const double wall = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  if (terminal) std::fprintf(stderr, "\r");
+  const double simulated = Seconds(report.took), requests = static_cast<double>(report.results.total());
+  std::printf(
+      "seed %llu: %.0f requests, %llu attempts, %llu events in %.1f s of virtual time; %.2f s, %.0f times as "
+      "fast, %.0f requests a second; service %.4f; history %016llx\n",
+      static_cast<unsigned long long>(scenario.seed), requests,
+      static_cast<unsigned long long>(report.attempts), static_cast<unsigned long long>(report.events),
+      simulated, wall, simulated / wall, requests / wall, report.service(),
+      static_cast<unsigned long long>(report.history));
+  std::fflush(stdout);
+  const bool broken = !report.verdict.violations.empty();
+  if (broken) std::printf("%s", load::Shown(report.verdict).c_str());
+  if (*all) {
+    **all += report.results;
+  } else {
+    all->emplace(std::move(report.results));
+  }
+  return !broken;
+}
+
+int Explain(const sim::Scenario& scenario, const std::string& request) {
+  sim::Simulation::Options options;
+  options.stop_at_breach = false;
+  bool found = false;
+  options.on_log = [](sim::Microseconds at, const std::string& what) {
+    std::printf("%12.6f  fault     %s\n", Seconds(at), what.c_str());
+  };
+  std::uint32_t node = ~0u;
+  options.on_event = [&](const load::Event& event) {
+    if (event.request != request) return;
+    found = true;
+    if (event.kind == load::Event::Kind::kSent)
+      node = static_cast<std::uint32_t>(std::atoi(event.proxy.c_str() + 1));
+    std::printf("%12.6f  %c %-8s %s %d\n", Seconds(event.at), static_cast<char>(event.kind),
+                event.proxy.c_str(), event.subject.c_str(), event.number);
+  };
+  // What its proxy decided while it was there, in the module's own words.
+  options.on_decision = [&](std::uint32_t at, sim::Microseconds now, const brackenspoke::Event&,
+                            const std::vector<brackenspoke::Action>& actions) {
+    if (at != node) return;
+    for (const auto& action : actions) {
+      if (const auto* log = std::get_if<brackenspoke::Log>(&action))
+        std::printf("%12.6f  n%-8u %s\n", Seconds(now), at, log->text.c_str());
+    }
+  };
+  sim::Simulation(scenario, options).Run();
+  if (!found)
+    std::fprintf(stderr, "kestrelsim: seed %llu has no request %s\n",
+                 static_cast<unsigned long long>(scenario.seed), request.c_str());
+  return found ? 0 : kBad;
+}
+
+int Shrink(const sim::Scenario& scenario) {
+  const auto fails = [](const sim::Scenario& candidate) {
+    return !sim::Simulation(candidate, {}).Run().verdict.violations.empty();
+  };
+  if (!fails(scenario)) {
+    std::printf("seed %llu breaks no rule: there is nothing to shrink\n",
+                static_cast<unsigned long long>(scenario.seed));
+    return 0;
+  }
+  const sim::Shrunk shrunk = sim::Shrink(scenario, fails);
+  const auto& site = shrunk.scenario.site;
+  std::printf("%d runs: %zu converters, %d proxies, %.1f s of load, %zu faults\n", shrunk.runs,
+              site.converters.size(), site.proxies, shrunk.scenario.plan.mixture.seconds, site.faults.size());
+  for (const auto& fault : site.faults) {
+    std::printf("  at %.3f s %s %s for %.3f s, amount %g\n", Seconds(fault.at),
+                std::string(standin::KindOf(fault.kind).name).c_str(), fault.who.c_str(),
+                Seconds(fault.lasts), fault.amount);
+  }
+  const auto verdict = sim::Simulation(shrunk.scenario, {}).Run().verdict;
+  std::printf("%s", load::Shown(verdict).c_str());
+  return kBroken;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"A site and a plan of load in virtual time"};
+  app.require_subcommand(1);
+  Arguments arguments;
+  const auto command = [&](const char* name, const char* what) {
+    CLI::App* sub = app.add_subcommand(name, what);
+    sub->add_option("SITE", arguments.site, "the site, as kestrelfleet takes it")->required();
+    sub->add_option("PLAN", arguments.plan, "the load, as kestrelload takes it")->required();
+    sub->add_option("--seed", arguments.seed, "of the order of events, delays, and chance in the proxies");
+    sub->add_flag("--hints", arguments.hints, "clients say what their requests cost");
+    return sub;
+  };
+  CLI::App* run = command("run", "plays the plan, audits the four rules");
+  run->add_option("--runs", arguments.runs, "so many, with the seeds that follow")
+      ->check(CLI::Range(1, 1000000));
+  run->add_option("--json", arguments.json, "results, as kestrelload report takes them");
+  run->add_option("--events", arguments.events, "all that the audit saw; of the last run");
+  run->add_flag("--no-audit", arguments.no_audit, "faster, and nobody judges the rules");
+  CLI::App* explain = command("explain", "all that became of one request, and what its proxy said meanwhile");
+  explain->add_option("--request", arguments.request, "its Req-Id")->required();
+  command("shrink", "the smallest site, load and faults that still break a rule");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  auto scenario = ScenarioOf(arguments);
+  if (!scenario) return kBad;
+  if (app.got_subcommand("explain")) return Explain(*scenario, arguments.request);
+  if (app.got_subcommand("shrink")) return Shrink(*scenario);
+  bool kept = true;
+  std::optional<load::Results> all;
+  for (int n = 0; n < arguments.runs; ++n, ++scenario->seed) kept &= Run(*scenario, arguments, &all);
+  std::printf("%s", all->Table().c_str());
+  if (!arguments.json.empty()) {
+    std::ofstream out(arguments.json);
+    out << all->ToJson().dump() << '\n';
+    if (!out.flush()) {
+      std::fprintf(stderr, "kestrelsim: %s cannot be written\n", arguments.json.c_str());
+      return kBad;
+    }
+  }
+  if (kept && !arguments.no_audit)
+    std::printf("the four rules were kept in %d run%s\n", arguments.runs, arguments.runs == 1 ? "" : "s");
+  return kept ? 0 : kBroken;
+}
