The simulator without four detours that said nothing

Cause: a review of the last landings: two functions that only named another, one that held a single call, a parameter that nobody read.

Change: src/sim alone, which the proxy does not link.

--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -178,8 +178,8 @@
   Proxy& proxy = proxies_[number];
   proxy.revision = 0;
   proxy.not_ready.assign(directory_.size(), false);
-  proxy.node->Start(hashing::Mixed(scenario_.seed ^ (std::uint64_t{number} << 32 | (proxy.node->life() + 1))),
-                    kernel_.now());
+  proxy.node->Start(
+      hashing::Mixed(scenario_.seed ^ (std::uint64_t{number} << 32 | (proxy.node->life() + 1))));
   // Until discovery answers it asks again and again; clients come once it is ready.
   proxy.down_until = Microseconds(-1);
   kernel_.After(scenario_.network.list + Jitter(), [this, number] { Deliver(number); });
--- a/src/sim/node.cpp
+++ b/src/sim/node.cpp
@@ -20,7 +20,7 @@
   return moment;
 }
 
-void Node::Start(std::uint64_t seed, Microseconds) {
+void Node::Start(std::uint64_t seed) {
   ++life_;
   balancer_ = std::make_unique<Balancer>(settings_, seed);
 }
--- a/src/sim/node.h
+++ b/src/sim/node.h
@@ -39,7 +39,7 @@
   std::uint32_t number() const { return number_; }
   std::size_t held() const { return pending_.size(); }
 
-  void Start(std::uint64_t seed, Microseconds now);
+  void Start(std::uint64_t seed);
   void Die();
 
   void Listed(brackenspoke::ListUpdate list, Microseconds now);
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -34,11 +34,6 @@
   return settings;
 }
 
-// With virtual time nobody sees a clock of the wall: a server's start counts from the module's own zero.
-brackenspoke::TimePoint StartOf(Microseconds at) { return Node::TimeOf(at); }
-
-load::Mixture MixtureOf(const Scenario& scenario) { return scenario.plan.mixture; }
-
 std::vector<std::string> NamesOf(const Scenario& scenario) {
   std::vector<std::string> names;
   for (const auto& c : scenario.plan.classes) names.push_back(c.name);
@@ -66,7 +61,7 @@
               },
               [this](std::uint32_t node, std::uint32_t host) { return Delay(node, host); },
               [this](const Event& event) { Tell(event); }}),
-      arrivals_(MixtureOf(scenario), scenario.plan.seed),
+      arrivals_(scenario.plan.mixture, scenario.plan.seed),
       report_(NamesOf(scenario)) {
   const auto& site = scenario_.site;
   for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
@@ -276,7 +271,10 @@
   if (refused && call.tries <= scenario_.plan.retries) {
     const Microseconds pause =
         answer.retry_after.count() > 0 ? answer.retry_after : scenario_.plan.retry_pause;
-    if (kernel_.now() + pause < call.due) return Again(of->call, pause);
+    if (kernel_.now() + pause < call.due) {
+      kernel_.After(pause, [this, number = of->call] { Try(number, 0); });
+      return;
+    }
   }
   const bool late = kernel_.now() > call.due;
   End(of->call, late                                   ? load::Outcome::kGaveUp
@@ -285,10 +283,6 @@
                                                        : load::Outcome::kFailed);
 }
 
-void Simulation::Again(std::uint64_t number, Microseconds pause) {
-  kernel_.After(pause, [this, number] { Try(number, 0); });
-}
-
 void Simulation::End(std::uint64_t number, load::Outcome outcome) {
   const auto found = calls_.find(number);
   const Call& call = *found->second;
@@ -319,7 +313,7 @@
   const std::uint32_t number = entry_of_[host];
   ServerEntry entry = directory_[number].entry;
   entry.state = state;
-  if (started) entry.up_since = StartOf(kernel_.now());
+  if (started) entry.up_since = Node::TimeOf(kernel_.now());
   directory_.Put(number, entry);
 }
 
--- a/src/sim/simulation.h
+++ b/src/sim/simulation.h
@@ -89,7 +89,6 @@
   void Pull();
   void Try(std::uint64_t call, std::size_t unreached);
   void OnAnswer(const std::shared_ptr<const sim::Try>& of, const Answer& answer);
-  void Again(std::uint64_t call, Microseconds pause);
   void End(std::uint64_t call, load::Outcome outcome);
   void SayOfClient(load::Event::Kind kind, const sim::Try& of, const std::string& subject, int number);
 
