The last byte held back while connections break; a class one server loses goes elsewhere

Change: src/handover decides, by the share and age of breaks seen of late against the wait's share of the aim, whether a request's last byte is held back for 0.25 to 2 ms; a connection that breaks before it proves that nothing ran. src/fleet/class_losses.h avoids pairs of server and class that lose far more than the class does elsewhere (likelihood ratio), for a while, half of the servers at most. The simulator's scenario takes values of the proxies' configuration.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,6 +17,7 @@
 
 #include "brackenspoke/balancer.h"
 #include "fleet/affinity.h"
+#include "fleet/class_losses.h"
 #include "fleet/pick_index.h"
 #include "fleet/roster.h"
 #include "fleet/subset.h"
@@ -236,7 +237,9 @@
 
   ServerIndex IndexOf(const Server& s) const { return s.index; }
 
-  bool Tried(const Request& r, const Server& s) const {
+  // Exception: a server that loses this class and serves others comes last, as one that was tried does.
+  bool Last(const Request& r, const Server& s) const {
+    if (class_losses_.Avoids(now_, IndexOf(s), r.cls)) return true;
     return std::any_of(r.attempts.begin(), r.attempts.end(),
                        [&](const Attempt& a) { return a.server == IndexOf(s); });
   }
@@ -280,7 +283,7 @@
     int unfit = 0;
     kestrelline::fleet::KeyOwners(ring_, r.key).Try([&](ServerIndex i) {
       Server& s = servers_[i];
-      if (s.health.ejected || s.own_count >= most || Tried(r, s)) return false;
+      if (s.health.ejected || s.own_count >= most || Last(r, s)) return false;
       if (FitsColdBudget(s, r.work)) best = &s;
       return best || ++unfit >= kMostUnfit;
     });
@@ -322,7 +325,7 @@
     int unfit = 0;
     const auto fits = [&](ServerIndex i) {
       Server& s = servers_[i];
-      if (Tried(r, s) || unfit > kMostUnfit) return false;
+      if (Last(r, s) || unfit > kMostUnfit) return false;
       if (FitsColdBudget(s, r.work)) return true;
       // Asked again at the next sample, which is when budgets move on.
       ++unfit, s.asleep = true, asleep_.push_back(i);
@@ -340,7 +343,7 @@
     // Those that met the key are few; what they save may put them before the least.
     double least = best == kNobody ? kNever.time_since_epoch().count() : score(best);
     key_memory_.Of(r.key, now_).ForEach([&](ServerIndex i) {
-      if (!may(i) || Tried(r, servers_[i]) || !FitsColdBudget(servers_[i], r.work)) return;
+      if (!may(i) || Last(r, servers_[i]) || !FitsColdBudget(servers_[i], r.work)) return;
       const double saved = score(i) - kWarmWeight * r.work;
       if (saved < least) least = saved, best = i;
     });
@@ -385,7 +388,7 @@
                   std::to_string(static_cast<int>(100 * WarmShare(s))) + "% or more of its capacity");
         continue;
       }
-      const int rank = 2 * s.health.ejected + Tried(r, s);
+      const int rank = 2 * s.health.ejected + Last(r, s);
       const bool crosses = EntryOf(s).zone != settings_.zone;
       const double score = s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
                            (warm.Has(IndexOf(s)) ? kWarmWeight * r.work : 0) +
@@ -693,6 +696,8 @@
     const double took = e.took.count();
     LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
     const bool timed = ok || e.outcome == Outcome::kTimeout;
+    if (!r.attempts[e.attempt].overdue && (timed || e.outcome == Outcome::kError))
+      class_losses_.Add(now_, IndexOf(s), r.cls, !ok, fleet_.hosts);
     if (timed && std::isfinite(took) && took >= 0) {
       Spread& seen = classes_[r.cls].latency;
       seen.Add(took / WorkScale(r));
@@ -787,7 +792,7 @@
     r.copying = true;
     const Permission may = Permitted(r);
     Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
-    if (s && !Tried(r, *s) && TakeFromBudget(r)) Send(r, *s);
+    if (s && !Last(r, *s) && TakeFromBudget(r)) Send(r, *s);
     r.copying = false;
   }
 
@@ -848,6 +853,7 @@
           continue;
         }
         a.overdue = true;
+        class_losses_.Add(now_, a.server, r.cls, true, fleet_.hosts);
         ++overdue_;
         room_ = true;
       }
@@ -1031,7 +1037,7 @@
       if (all && Usable(s) && !index_of_work_.Has(index))
         s.subset = subset_number_, entering_.push_back(index);
       if (!change.started) continue;
-      cold_.erase(index);
+      cold_.erase(index), class_losses_.Forget(index);
       if (WarmShare(s) < 1) cold_[index] = {{}, now_, random_.Unit()};
     }
     roster_.DropChanges();
@@ -1196,6 +1202,7 @@
   std::uint32_t subset_number_ = 0;
   std::size_t judged_ = 0;  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
+  kestrelline::fleet::ClassLosses class_losses_;
   std::unordered_map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::deque<std::pair<TimePoint, RequestId>> sent_;  // attempts too young to be overdue
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cmath>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "clock.h"
@@ -77,7 +78,7 @@
     });
   }
 
-  void Assign(std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done) {
+  void Assign(std::shared_ptr<const HttpRequest> request, Duration timeout, Duration hold, AttemptDone done) {
     ++use_;
     request_ = std::move(request);
     head_.base() = request_->base();
@@ -85,7 +86,8 @@
     head_.body() = {request_->body().data(), request_->body().size()};
     done_ = std::move(done);
     deadline_ = Steady::now() + ToSteady(timeout);
-    written_ = begun_ = false;
+    hold_ = hold;
+    written_ = begun_ = holding_ = false;
     interim_ = 0;
   }
 
@@ -141,6 +143,7 @@
     timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
       if (cancelled || self->closed_ || Steady::now() < self->timer_.expiry()) return;
       if (!self->done_) return self->Close();  // idle for too long
+      if (self->holding_ && self->timer_.expiry() < self->deadline_) return self->WriteLast();
       // Nothing has run unless the last byte was written.
       self->Finish(!self->written_                                           ? Outcome::kConnectFailed
                    : self->begun_ && self->timer_.expiry() < self->deadline_ ? Outcome::kReset
@@ -149,6 +152,9 @@
   }
 
   void Write() {
+    first_byte_ = Steady::now();
+    // A body in chunks ends by itself; none of ours does that.
+    if (hold_.count() > 0 && !head_.chunked()) return WriteButLast();
     http::async_write(socket_, head_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->done_) return;
       if (failed) return self->Finish(Outcome::kConnectFailed);
@@ -157,6 +163,49 @@
     });
   }
 
+  // All but the last byte: no backend can have begun with it, whatever becomes of the connection.
+  void WriteButLast() {
+    std::ostringstream text;
+    text << head_.base();
+    whole_ = std::move(text).str();
+    whole_.append(head_.body().data(), head_.body().size());
+    holding_ = true;
+    asio::async_write(socket_, asio::buffer(whole_.data(), whole_.size() - 1),
+                      [self = shared_from_this()](const Error& failed, std::size_t) {
+                        if (!self->done_) return;
+                        if (failed) return self->Finish(Outcome::kConnectFailed);
+                        self->SetTimer(std::min(self->deadline_, self->first_byte_ + ToSteady(self->hold_)));
+                        self->WatchHeld();
+                      });
+  }
+
+  void WatchHeld() {
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
+      if (!self->done_ || use != self->use_ || !self->holding_ || failed == asio::error::operation_aborted)
+        return;
+      // Its end or a reset. An answer ahead of the last byte is one: it is read when that is written.
+      Error error;
+      char byte;
+      const std::size_t n = self->socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+      if (failed || (error && error != asio::error::would_block) || (!error && n == 0))
+        return self->Finish(Outcome::kConnectFailed);
+    });
+  }
+
+  void WriteLast() {
+    holding_ = false;
+    SetTimer(deadline_);
+    Error ignored;
+    socket_.cancel(ignored);  // the watch
+    asio::async_write(socket_, asio::buffer(&whole_.back(), 1),
+                      [self = shared_from_this()](const Error& failed, std::size_t) {
+                        if (!self->done_) return;
+                        if (failed) return self->Finish(Outcome::kConnectFailed);
+                        self->written_ = true;
+                        self->AwaitAnswer();
+                      });
+  }
+
   // An answer that has begun comes whole soon, or not at all: its connection may stay open and silent.
   void AwaitAnswer() {
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
@@ -207,8 +256,14 @@
     const AttemptDone done = std::exchange(done_, nullptr);
     // Where the attempt was given up, a write or a read may be on its way, and have its bytes already: what
     // it uses goes with the connection.
+    const bool broke = (outcome == Outcome::kReset || outcome == Outcome::kConnectFailed) &&
+                       first_byte_ != Steady::time_point() && !(parser_ && parser_->got_some());
+    const Duration written = first_byte_ == Steady::time_point() ? Duration(0) : Steady::now() - first_byte_;
+    first_byte_ = {};
+    holding_ = false;
     if (reusable_) {
       request_ = {};
+      whole_ = {};
       head_ = {};
       parser_.reset();
       buffer_.clear();
@@ -222,7 +277,7 @@
     }
     // Where one answer stays away, the idle connections may lead nowhere too.
     if (outcome == Outcome::kTimeout && owner_) owner_->CloseIdle(server_);
-    done({outcome, std::move(response), outcome == Outcome::kMoot});
+    done({outcome, std::move(response), outcome == Outcome::kMoot, broke, written});
   }
 
   Backends* owner_;
@@ -235,10 +290,12 @@
   std::shared_ptr<const HttpRequest> request_;
   http::request<http::span_body<const char>> head_;  // the request as it is written; its body is request_'s
   AttemptDone done_;                                 // set while an attempt is out
-  Steady::time_point deadline_{}, idle_since_{};
+  std::string whole_;                                // the same as bytes, where its last one is held back
+  Steady::time_point deadline_{}, idle_since_{}, first_byte_{};
+  Duration hold_{0};
   std::uint64_t use_ = 0;
   int interim_ = 0;
-  bool written_ = false, begun_ = false, reusable_ = false, closed_ = false;
+  bool written_ = false, begun_ = false, holding_ = false, reusable_ = false, closed_ = false;
 };
 
 Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
@@ -288,18 +345,18 @@
 }
 
 void Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                    AttemptDone done) {
+                    Duration hold, AttemptDone done) {
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
-    connection->Assign(std::move(request), timeout, std::move(done));
+    connection->Assign(std::move(request), timeout, hold, std::move(done));
     return connection->Reuse();
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
   ++backend.live;
-  connection->Assign(std::move(request), timeout, std::move(done));
+  connection->Assign(std::move(request), timeout, hold, std::move(done));
   // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
   // fault.
   if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -24,6 +24,8 @@
   Outcome outcome = Outcome::kUnknown;
   HttpResponse response;  // of kOk, whole; of kUnknown, where the backend turned the request away as faulty
   bool local = false;     // of kMoot: it could not begin for want of descriptors or places here
+  bool broke = false;     // its connection broke before any byte of an answer, after some of its own
+  Duration written{0};    // since its first byte was
 };
 using AttemptDone = std::function<void(AttemptResult)>;
 
@@ -52,9 +54,11 @@
   // Drops what is known of a backend that is retired.
   void Forget(ServerId server);
 
-  // One attempt with the request as it came, but for how long its answer will be waited for. `done` is called
-  // once, never from within this call, and not after the destructor.
-  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done);
+  // One attempt with the request as it came, but for how long its answer will be waited for. `hold`: its last
+  // byte is written this much after the others, or never, if the connection breaks first; that attempt has
+  // not run then. `done` is called once, never from within this call, and not after the destructor.
+  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, Duration hold,
+            AttemptDone done);
 
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -247,6 +247,7 @@
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
+  pending.request_class = static_cast<std::size_t>(submit.request_class);
   pending.responder = std::move(responder);
   if (tagger_ && tagger_->Reads(route)) {
     TagFirst(id, std::make_shared<const Arrival>(Arrival{submit, routes_}), route);
@@ -288,6 +289,7 @@
                                verdict.route_tag);
     submit.limits = *arrival.routes->Find(tagged).limits;
   }
+  found->second.request_class = static_cast<std::size_t>(submit.request_class);
   Feed(submit);
 }
 
@@ -316,7 +318,9 @@
   ++pending.attempts_out;
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
-  backends_->Send(action.server, pending.message, timeout,
+  const ClassSettings& c = config_.settings.classes[pending.request_class];
+  const Duration hold = last_byte_.WaitFor(clock_.Now(), c.effect, c.aim);
+  backends_->Send(action.server, pending.message, timeout, hold,
                   [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
                     OnAttemptDone(id, attempt, server, now, std::move(result));
                   });
@@ -330,6 +334,7 @@
   end.server = server;
   end.outcome = result.outcome;
   end.took = Steady::now() - sent;
+  if (result.written.count() > 0) last_byte_.OnEnded(clock_.Now(), result.written, result.broke);
   const auto found = pending_.find(request);
   if (found != pending_.end()) --found->second.attempts_out;
   const bool other_out = found != pending_.end() && found->second.attempts_out > 0;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -24,6 +24,7 @@
 #include "config.h"
 #include "descriptors.h"
 #include "discovery.h"
+#include "handover/last_byte.h"
 #include "members.h"
 #include "plugin/tagger.h"
 #include "routing/table.h"
@@ -72,6 +73,7 @@
     std::shared_ptr<const HttpRequest> message;
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
+    std::size_t request_class = 0;
     int attempts = 0;
     int attempts_out = 0;                         // two where a second copy is out
     kestrelline::plugin::Tagger::Ticket tagging;  // null once the module has the request
@@ -107,6 +109,7 @@
   Tagger tagger_;
   ModuleClock clock_;
   Balancer balancer_;
+  kestrelline::handover::LastByte last_byte_;
   ServerNumbers numbers_;
   std::unordered_map<RequestId, Pending> pending_;
   std::unordered_set<std::string> open_ids_;  // Req-Id of those pending
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "brackenspoke/balancer.h"
@@ -34,10 +35,16 @@
   std::uint64_t seed = 1;  // of the order of events, delays and chance in the proxies; load has the plan's,
                            // and faults and work the site's
   bool hints = false;      // clients say what their requests cost
-  // A proxy is told this of itself and the platform; empty: as ProxyConfig has it.
+  // Values of the proxies' configuration in place of those that ProxyConfig gives the site: the path below
+  // its "settings" ("rules.fallMultiple"), and the value as JSON.
+  std::vector<std::pair<std::string, std::string>> config;
+  // A proxy is told this of itself and the platform; empty: as the configuration has it.
   std::function<void(brackenspoke::Settings*)> adjust;
 };
 
+// Whether the proxies would take the configuration; if not, why.
+bool ConfigIsValid(const Scenario& scenario, std::string* why);
+
 }  // namespace kestrelline::sim
 
 #endif  // KESTRELLINE_SIM_SCENARIO_H_
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -26,7 +26,15 @@
 
 // What the daemon makes of the configuration that the stand-in site gives it: its own parser, not a copy.
 brackenspoke::Settings SettingsOf(const Scenario& scenario, std::uint32_t node) {
-  const auto json = standin::ProxyConfig(scenario.site, static_cast<int>(node), "127.0.0.1:1", "127.0.0.1:1");
+  auto json = standin::ProxyConfig(scenario.site, static_cast<int>(node), "127.0.0.1:1", "127.0.0.1:1");
+  for (const auto& [path, text] : scenario.config) {
+    std::string pointer = "/settings/" + path;
+    std::replace(pointer.begin(), pointer.end(), '.', '/');
+    const nlohmann::json::json_pointer at(pointer);
+    // Keys that nobody knows are ignored by who reads them: a slip of the pen would change nothing.
+    if (!json.contains(at)) throw brackenspoke::proxy::BadConfig("there is no settings." + path);
+    json[at] = nlohmann::json::parse(text);
+  }
   auto settings = brackenspoke::proxy::ParseConfig(json.dump(), [](const char*) -> const char* {
                     return nullptr;
                   }).settings;
@@ -42,6 +50,16 @@
 
 }  // namespace
 
+bool ConfigIsValid(const Scenario& scenario, std::string* why) {
+  try {
+    SettingsOf(scenario, 0);
+    return true;
+  } catch (const std::exception& error) {  // BadConfig, or of JSON
+    *why = error.what();
+    return false;
+  }
+}
+
 Simulation::Simulation(const Scenario& scenario, Options options)
     : scenario_(scenario),
       options_(std::move(options)),
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -592,14 +592,85 @@
     results.push_back(std::move(r));
     release.Do([](bool& go) { go = true; });
   };
-  backends.Send(1, message, Duration(60000), keep);
-  backends.Send(1, message, Duration(60000), keep);
+  backends.Send(1, message, Duration(60000), Duration(0), keep);
+  backends.Send(1, message, Duration(60000), Duration(0), keep);
   while (results.size() < 2) io.run_one();
   EXPECT_EQ(results[0].outcome, Outcome::kMoot);  // never ran, and says nothing of the backend
   EXPECT_TRUE(results[0].local);
   EXPECT_EQ(results[1].outcome, Outcome::kOk);
 }
 
+// One attempt with its last byte held back, at a server that does with the connection what `serve` says.
+proxy::AttemptResult Attempted(const std::function<void(Tcp::socket&)>& serve, Duration hold,
+                               const std::string& body) {
+  Listener listener(serve);
+  asio::io_context io(1);
+  proxy::Backends backends(io, {});
+  backends.Set(1, listener.address, 0);
+  auto message = std::make_shared<HttpRequest>(http::verb::post, "/book", 11);
+  message->body() = body;
+  message->prepare_payload();
+  std::optional<proxy::AttemptResult> result;
+  backends.Send(1, message, Duration(20000), hold, [&](proxy::AttemptResult r) { result = std::move(r); });
+  while (!result) io.run_one();
+  return std::move(*result);
+}
+
+std::string ReadSome(Tcp::socket& socket) {
+  std::string text(4096, '\0');
+  error_code failed;
+  text.resize(socket.read_some(asio::buffer(text), failed));
+  return text;
+}
+
+TEST(Proxy, AConnectionThatBreaksUnderAHeldRequestProvesThatItNeverRan) {
+  const auto reset = [](Tcp::socket& socket) {
+    ReadSome(socket);
+    socket.set_option(Tcp::socket::linger(true, 0));
+    socket.close();
+  };
+  for (const std::string body : {"", "deed"}) {
+    const auto held = Attempted(reset, Duration(20000), body);
+    EXPECT_EQ(held.outcome, Outcome::kConnectFailed);
+    EXPECT_TRUE(held.broke);
+    const auto at_once = Attempted(reset, Duration(0), body);
+    EXPECT_EQ(at_once.outcome, Outcome::kReset);  // it may have run
+    EXPECT_TRUE(at_once.broke);
+  }
+}
+
+TEST(Proxy, AHeldRequestComesWholeAndIsAnsweredOnce) {
+  for (const std::string body : {"", "deed"}) {
+    std::string first;
+    Backend backend;
+    const auto serve = [&](Tcp::socket& socket) {
+      first = ReadSome(socket);
+      std::string rest;
+      while (rest.empty()) rest = ReadSome(socket);
+      first += '|' + rest;
+      SendRaw(socket, OkAnswer("once"));
+      ReadSome(socket);  // its end
+    };
+    const auto result = Attempted(serve, Duration(5), body);
+    EXPECT_EQ(result.outcome, Outcome::kOk);
+    EXPECT_EQ(result.response.body(), "once");
+    EXPECT_FALSE(result.broke);
+    const std::string last = body.empty() ? "\r\n\r|\n" : "\r\n\r\ndee|d";
+    EXPECT_TRUE(first.ends_with(last)) << first;
+  }
+}
+
+TEST(Proxy, AServerThatDeclinesAheadOfTheLastByteIsBelieved) {
+  const auto result = Attempted(
+      [](Tcp::socket& socket) {
+        ReadSome(socket);
+        SendRaw(socket, kDeclined);
+        ReadSome(socket);
+      },
+      Duration(5), "deed");
+  EXPECT_EQ(result.outcome, Outcome::kFull);
+}
+
 TEST(Proxy, ATimeOutClosesTheIdleConnectionsToo) {
   Watched<bool> release;
   Backend backend([&](Tcp::socket& s, const HttpRequest& r) {
