Answers over the protocol's 64 KiB are passed on while memory allows

Keyed and safe requests were asked for four times, certified copies were lost. Found by counting resets whose header had come. Change: answers of up to 1 MiB are read, all large ones together, until their clients have taken them, within an eighth of the process's memory (src/handover/answer_room.h). One without room is given up and blamed on no server; the time for an answer grows with its length. An answer in chunks and all requests are held to 64 KiB as before.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -219,7 +219,7 @@
 
   void Read() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kestrelline::handover::AnswerRoom::kMostOne);
     parser_->header_limit(kMostAnswerHeader);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](const Error& failed, std::size_t) {
@@ -239,6 +239,7 @@
     // An answer that only the connection's end delimits cannot be told from one cut short.
     if (!FramingIsPlain(header, header.version()) || (parser_->need_eof() && !parser_->chunked()))
       return Finish(Outcome::kReset);
+    if (!MakeRoom()) return;
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](const Error& failed, std::size_t) {
                        if (!self->done_) return;
@@ -250,6 +251,25 @@
                      });
   }
 
+  // For an answer over the protocol's size; one in chunks says nothing of its length, and gets no more than
+  // that. False if there is none: the attempt is over.
+  bool MakeRoom() {
+    const std::uint64_t length = parser_->content_length().value_or(0);
+    auto room = owner_->answer_room_.Take(length);
+    if (room.verdict != kestrelline::handover::AnswerRoom::Verdict::kFits) {
+      // For want of room here the server is not to blame: as if it had been given up.
+      const bool local = room.verdict == kestrelline::handover::AnswerRoom::Verdict::kNoRoom;
+      Finish(local ? Outcome::kCancelled : Outcome::kReset);
+      return false;
+    }
+    lease_ = std::move(room.lease);
+    if (parser_->chunked()) parser_->body_limit(kMostBody);
+    const auto parts = static_cast<int>(1 + length / kMostBody);
+    if (parts > 1)
+      SetTimer(std::min(deadline_, Steady::now() + owner_->limits_.patience.answer_whole * parts));
+    return true;
+  }
+
   void Finish(Outcome outcome, HttpResponse response = {}) {
     if (!done_) return;
     const auto self = shared_from_this();
@@ -277,7 +297,8 @@
     }
     // Where one answer stays away, the idle connections may lead nowhere too.
     if (outcome == Outcome::kTimeout && owner_) owner_->CloseIdle(server_);
-    done({outcome, std::move(response), outcome == Outcome::kMoot, broke, written});
+    done({outcome, std::move(response), outcome == Outcome::kMoot, broke, written,
+          std::exchange(lease_, nullptr)});
   }
 
   Backends* owner_;
@@ -289,6 +310,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   std::shared_ptr<const HttpRequest> request_;
   http::request<http::span_body<const char>> head_;  // the request as it is written; its body is request_'s
+  AnswerLease lease_;                                // of an answer that is being read
   AttemptDone done_;                                 // set while an attempt is out
   std::string whole_;                                // the same as bytes, where its last one is held back
   Steady::time_point deadline_{}, idle_since_{}, first_byte_{};
@@ -298,7 +320,10 @@
   bool written_ = false, begun_ = false, holding_ = false, reusable_ = false, closed_ = false;
 };
 
-Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+Backends::Backends(asio::io_context& io, Limits limits)
+    : io_(io),
+      limits_(std::move(limits)),
+      answer_room_(kestrelline::handover::AnswerRoom::OfMemory(limits_.memory_mb)) {}
 
 Backends::~Backends() {
   const auto live = std::move(live_);
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -17,15 +17,19 @@
 
 #include "brackenspoke/balancer.h"
 #include "framing.h"
+#include "handover/answer_room.h"
 
 namespace brackenspoke::proxy {
 
+using AnswerLease = std::shared_ptr<const kestrelline::handover::AnswerRoom::Lease>;
+
 struct AttemptResult {
   Outcome outcome = Outcome::kUnknown;
   HttpResponse response;  // of kOk, whole; of kUnknown, where the backend turned the request away as faulty
   bool local = false;     // of kMoot: it could not begin for want of descriptors or places here
   bool broke = false;     // its connection broke before any byte of an answer, after some of its own
   Duration written{0};    // since its first byte was
+  AnswerLease lease;      // of a large answer: to be held for as long as it is
 };
 using AttemptDone = std::function<void(AttemptResult)>;
 
@@ -36,6 +40,7 @@
     Duration conn_idle{15000};
     std::function<std::size_t()> connections = [] { return std::size_t{300}; };  // over all backends, now
     Patience patience{};
+    double memory_mb = 2048;  // of the process; large answers take a share of it
   };
 
   Backends(boost::asio::io_context& io, Limits limits);
@@ -83,6 +88,7 @@
 
   boost::asio::io_context& io_;
   Limits limits_;
+  kestrelline::handover::AnswerRoom answer_room_;
   std::unordered_map<ServerId, Backend> backends_;
   std::unordered_map<const Connection*, std::weak_ptr<Connection>> live_;
   std::size_t open_ = 0, opened_ = 0;
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -84,8 +84,9 @@
     Close();
   }
 
-  void Served(HttpResponse answer) override {
+  void Served(HttpResponse answer, AnswerLease lease) override {
     if (!Holds()) return;
+    lease_ = std::move(lease);
     HttpResponse mine{http::status::ok, 11};
     if (const auto type = answer.find(http::field::content_type); type != answer.end())
       mine.set(http::field::content_type, type->value());
@@ -263,6 +264,7 @@
                       [self = shared_from_this(), shed](const Error& failed, std::size_t) {
                         if (self->state_ != State::kWriting) return;
                         self->response_ = {};
+                        self->lease_.reset();
                         if (failed || (shed && self->NothingUnread())) return self->Close();
                         if (self->last_) return self->CloseGently();
                         self->Wait(self->patience().kept);
@@ -298,6 +300,7 @@
   Tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBody + kMostHeader};
   std::optional<Parser> parser_;
+  AnswerLease lease_;  // of response_, where it is large
   HttpResponse response_;
   RequestId request_ = 0;
   std::vector<char> rest_;  // what is read and not looked at, once the last answer is written
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -25,7 +25,8 @@
 class Responder {
  public:
   virtual ~Responder() = default;
-  virtual void Served(HttpResponse answer) = 0;
+  // `lease`: held until the client has taken the answer.
+  virtual void Served(HttpResponse answer, AnswerLease lease) = 0;
   virtual void Refused(Duration retry_after) = 0;
   virtual void Failed() = 0;
   // A backend found the request itself faulty.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -100,6 +100,7 @@
       armed_for_(kUnarmed),
       timer_(io) {
   Backends::Limits limits{config_.connect_timeout, config_.conn_idle, {}, config_.patience};
+  limits.memory_mb = config_.memory_mb;
   limits.connections = [this] { return shares_.ForBackends(clients_ ? clients_->connections() : 0); };
   backends_ = std::make_unique<Backends>(io, std::move(limits));
   discovery_ = std::make_unique<Discovery>(
@@ -339,7 +340,8 @@
   if (found != pending_.end()) --found->second.attempts_out;
   const bool other_out = found != pending_.end() && found->second.attempts_out > 0;
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
+    if (const auto responder = Conclude(request))
+      responder->Served(std::move(result.response), std::move(result.lease));
   } else if (result.outcome == Outcome::kUnknown) {
     if (const auto responder = Conclude(request)) responder->Rejected(result.response.result());
   } else if (result.local && !other_out) {
