--- /dev/null
+++ b/models/check.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: Apache-2.0
+#
+# Checks the models with SPIN: every property of each, exhaustively, and that each mutation is found by the property that is
+# named with it. Prints states and time. Exit codes: 0; 1 if a property fails or a mutation is not found.
+#
+#   models/check.sh [FOLDER]      for what SPIN makes; a temporary one without it
+set -euo pipefail
+models=$(cd "$(dirname "$0")" && pwd)
+readonly models work=${1:-$(mktemp -d)}
+mkdir -p "$work"
+[[ $# -gt 0 ]] || trap 'rm -rf "$work"' EXIT
+readonly kSeconds=120
+
+# name, model, defines
+make_pan() {
+  local folder="$work/$1"
+  rm -rf "$folder" && mkdir -p "$folder"
+  # shellcheck disable=SC2086
+  (cd "$folder" && cp "$models/$2" . && spin -a $3 "$2" >spin.log 2>&1 &&
+    cc -O0 -w -DNFAIR=1 -o pan pan.c >cc.log 2>&1) || { cat "$folder"/*.log >&2; return 1; }
+}
+
+# Runs `pan` for one property: prints "errors states seconds".
+run_pan() {
+  local said
+  said=$(cd "$work/$1" && timeout $kSeconds ./pan -a -m200000 -N "$2" 2>&1) || return 1
+  grep -q "max search depth too small\|out of memory" <<<"$said" && return 1
+  awk '/errors:/ { for (i = 1; i < NF; i++) if ($i == "errors:") errors = $(i + 1) }
+       /states, stored/ { states = $1 } /elapsed time/ { seconds = $4 }
+       END { print errors + 0, states + 0, seconds + 0 }' <<<"$said"
+}
+
+failed=0
+# model file, defines, label, properties that hold
+hold() {
+  make_pan "$3" "$1" "$2" || return 1
+  local property errors states seconds
+  for property in $4; do
+    read -r errors states seconds < <(run_pan "$3" "$property") || { errors=?; }
+    printf '%-12s %-16s %9s states %6s s  %s\n' "$3" "$property" "${states:-?}" "${seconds:-?}" \
+      "$([[ $errors == 0 ]] && echo holds || echo FAILS)"
+    [[ $errors == 0 ]] || failed=1
+  done
+}
+# model file, defines, label, property that must fail
+find_it() {
+  make_pan "$3" "$1" "$2" || return 1
+  local errors states seconds
+  read -r errors states seconds < <(run_pan "$3" "$4") || errors=0
+  printf '%-12s %-16s %9s states %6s s  %s\n' "$3" "$4" "${states:-?}" "${seconds:-?}" \
+    "$([[ $errors != 0 ]] && echo 'found, as it must be' || echo 'NOT FOUND')"
+  [[ $errors != 0 ]] || failed=1
+}
+
+all="one_answer answered ends one_at_once no_effect_twice"
+hold request.pml "-DEFFECT=0" safe "$all"
+hold request.pml "-DEFFECT=1" keyed "$all"
+hold request.pml "-DEFFECT=2" unsafe "$all"
+find_it request.pml "-DEFFECT=2 -DMUTATION=1" mutation-r1 no_effect_twice
+find_it request.pml "-DEFFECT=0 -DMUTATION=2" mutation-r2 one_at_once
+find_it request.pml "-DEFFECT=2 -DMUTATION=3" mutation-r3 one_answer
+find_it request.pml "-DEFFECT=1 -DMUTATION=4" mutation-r4 no_effect_twice
+find_it request.pml "-DEFFECT=0 -DMUTATION=5" mutation-r5 answered
+find_it request.pml "-DEFFECT=2 -DMUTATION=6" mutation-r6 no_effect_twice
+find_it request.pml "-DEFFECT=2 -DMUTATION=7" mutation-r7 no_effect_twice
+find_it request.pml "-DEFFECT=1 -DMUTATION=8" mutation-r8 no_effect_twice
+hold list.pml "" list "never_back no_divergence drains_kept kept_up"
+find_it list.pml "-DMUTATION=1" mutation-l1 no_divergence
+find_it list.pml "-DMUTATION=2" mutation-l2 kept_up
+find_it list.pml "-DMUTATION=3" mutation-l3 drains_kept
+find_it list.pml "-DMUTATION=4" mutation-l4 never_back
+find_it list.pml "-DMUTATION=5" mutation-l5 kept_up
+find_it list.pml "-DMUTATION=6" mutation-l6 no_divergence
+exit $failed
--- a/src/load/engine.cpp
+++ b/src/load/engine.cpp
@@ -275,6 +275,7 @@
     auto request = std::make_shared<Request>();
     request->arrival = *next_;
     request->number = ++requests_;
+    request->ready = Now();
     ++open_requests_;
     next_ = source_();
     Place(std::move(request));
@@ -358,7 +359,7 @@
 
 void Engine::End(const RequestPtr& request, Outcome outcome) {
   const Microseconds now = Now();
-  Timing timing{request->arrival.at, request->sent.count() < 0 ? now : request->sent, now};
+  Timing timing{request->arrival.at, request->sent.count() < 0 ? now : request->sent, now, request->ready};
   --open_requests_;
   on_end_(request->arrival, outcome, timing);
   EndIfOver();
--- a/src/load/engine.h
+++ b/src/load/engine.h
@@ -76,6 +76,7 @@
     Arrival arrival;
     std::uint64_t number = 0;  // of the Idempotency-Key
     std::string id;            // of the try that is open
+    Microseconds ready{0};     // when it was pulled
     Microseconds sent{-1};     // its first try
     int tries = 0;
     std::size_t unreached = 0;  // targets
--- a/src/load/results.cpp
+++ b/src/load/results.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 #include <functional>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace kestrelline::load {
@@ -81,68 +82,8 @@
   return out;
 }
 
-// ---- charts -------------------------------------------------------------------------------------------
-constexpr double kWidth = 860, kHeight = 240, kLeft = 70, kBottom = 28, kTop = 12;
-
-struct Line {
-  std::string name, colour;
-  std::vector<double> values;  // one for each place on the x axis
-};
-
-std::string Svg(const std::vector<Line>& lines, double least, double most, bool log_y,
-                const std::vector<std::string>& marks, const std::string& unit) {
-  const auto y = [&](double value) {
-    const double v = std::clamp(value, least, most);
-    const double share =
-        log_y ? std::log(v / least) / std::log(most / least) : (v - least) / std::max(1e-9, most - least);
-    return kTop + (1 - share) * (kHeight - kTop - kBottom);
-  };
-  std::size_t places = 1;
-  for (const Line& line : lines) places = std::max(places, line.values.size());
-  const auto x = [&](std::size_t i) {
-    return kLeft + (kWidth - kLeft - 8) * static_cast<double>(i) /
-                       static_cast<double>(std::max<std::size_t>(1, places - 1));
-  };
-  char text[256];
-  std::snprintf(text, sizeof text, "<svg viewBox='0 0 %g %g' role='img'>", kWidth, kHeight);
-  std::string svg = text;
-  for (int i = 0; i <= 4; ++i) {
-    const double value = log_y ? least * std::pow(most / least, i / 4.0) : least + (most - least) * i / 4;
-    std::snprintf(
-        text, sizeof text,
-        "<line x1='%g' x2='%g' y1='%.1f' y2='%.1f' class='g'/><text x='%g' y='%.1f' class='y'>%.4g %s</text>",
-        kLeft, kWidth - 8, y(value), y(value), kLeft - 6, y(value) + 4, value, unit.c_str());
-    svg += text;
-  }
-  for (std::size_t i = 0; i < marks.size(); ++i) {
-    if (marks[i].empty()) continue;
-    std::snprintf(text, sizeof text, "<text x='%.1f' y='%g' class='x'>%s</text>", x(i), kHeight - 8,
-                  marks[i].c_str());
-    svg += text;
-  }
-  for (const Line& line : lines) {
-    svg += "<polyline fill='none' stroke='" + line.colour + "' points='";
-    for (std::size_t i = 0; i < line.values.size(); ++i) {
-      std::snprintf(text, sizeof text, "%.1f,%.1f ", x(i), y(line.values[i]));
-      svg += text;
-    }
-    svg += "'><title>" + Escaped(line.name) + "</title></polyline>";
-  }
-  svg += "</svg><p>";
-  for (const Line& line : lines)
-    svg += "<span style='color:" + line.colour + "'>&#9644;</span> " + Escaped(line.name) + " &nbsp; ";
-  return svg + "</p>";
-}
-
 double InMs(Microseconds us) { return std::max(0.01, static_cast<double>(us.count()) / 1000); }
 
-std::vector<std::string> SecondMarks(std::size_t n) {
-  std::vector<std::string> marks(n);
-  const std::size_t every = std::max<std::size_t>(1, n / 10);
-  for (std::size_t i = 0; i < n; i += every) marks[i] = std::to_string(i) + " s";
-  return marks;
-}
-
 struct Estimate {
   double mean = 0, error = 0;
   std::size_t n = 0;
@@ -170,6 +111,7 @@
   const auto o = static_cast<std::size_t>(outcome);
   const auto at = static_cast<std::size_t>(std::max<std::int64_t>(0, timing.intended.count() / 1000000));
   const std::size_t second = std::min(at, kMostSeconds - 1);
+  const Microseconds ready = timing.ready.count() < 0 ? timing.sent : timing.ready;
   if (seconds_.size() <= second) seconds_.resize(second + 1);
   ++seconds_[second].outcomes[o];
   Class& c = classes_.at(request_class);
@@ -177,7 +119,8 @@
   if (outcome != Outcome::kUnsent) {
     seconds_[second].latencies.Add(timing.answered - timing.intended);
     c.closed[o].Add(timing.answered - timing.sent);
-    lateness_.Add(timing.sent - timing.intended);
+    lateness_.Add(ready - timing.intended);
+    waited_.Add(timing.sent - ready);
   }
 }
 
@@ -196,6 +139,7 @@
     seconds_[s].latencies += other.seconds_[s].latencies;
   }
   lateness_ += other.lateness_;
+  waited_ += other.waited_;
   return *this;
 }
 
@@ -232,7 +176,8 @@
   return {{"kestrelload", kForm},
           {"classes", classes},
           {"seconds", seconds},
-          {"lateness", load::ToJson(lateness_)}};
+          {"lateness", load::ToJson(lateness_)},
+          {"waited", load::ToJson(waited_)}};
 }
 
 Results Results::FromJson(const json& from) {
@@ -257,6 +202,8 @@
       load::FromJson(s.at("latencies"), &second.latencies);
     }
     load::FromJson(from.at("lateness"), &results.lateness_);
+    // Files of before it was told apart have none.
+    if (from.contains("waited")) load::FromJson(from.at("waited"), &results.waited_);
     return results;
   } catch (const json::exception& error) {
     throw BadResults(std::string("no results of kestrelload: ") + error.what());
@@ -277,6 +224,7 @@
   text += Row("all served", Served(true));
   text += Row("  from the send", Served(false));
   text += Row("generator's lateness", lateness_);
+  text += Row("no free connection", waited_);
   const std::uint64_t all = total();
   for (std::size_t o = 0; o < kOutcomes && all > 0; ++o) {
     const std::uint64_t n = Count(static_cast<Outcome>(o));
@@ -285,53 +233,71 @@
                   100.0 * static_cast<double>(n) / static_cast<double>(all));
     text += line;
   }
-  const Microseconds late = lateness_.Quantile(0.99);
-  if (Count(Outcome::kUnsent) > 0 || late > kLate)
-    text += "the generator was outrun: " + std::to_string(Count(Outcome::kUnsent)) +
-            " requests were not sent, and 1 % were sent " + Ms(late) +
+  if (outrun())
+    text += "the generator was outrun: it got to 1 % of the requests " + Ms(lateness_.Quantile(0.99)) +
             " ms late or more. Their latencies count from the intended time all the same.\n";
+  if (short_of_connections())
+    text += "no connection was free: " + std::to_string(Count(Outcome::kUnsent)) +
+            " requests were not sent, and 1 % waited " + Ms(waited_.Quantile(0.99)) +
+            " ms or more. The plan has too few connections, or what it asks holds them all; latencies count "
+            "the wait.\n";
   return text;
 }
 
-std::string Results::Html(const std::string& title, const std::string& rules) const {
-  Line p50{"p50", "#2a7", {}}, p99{"p99", "#27a", {}}, most{"max", "#c33", {}};
-  std::vector<Line> outcomes;
-  constexpr std::array kColours{"#2a7", "#e90", "#c33", "#777", "#000"};
-  for (std::size_t o = 0; o < kOutcomes; ++o) outcomes.push_back({std::string(kNames[o]), kColours[o], {}});
-  double highest = 1, busiest = 1;
+bool Results::outrun() const { return lateness_.Quantile(0.99) > kLate; }
+
+bool Results::short_of_connections() const {
+  return Count(Outcome::kUnsent) > 0 || waited_.Quantile(0.99) > kLate;
+}
+
+std::vector<charts::Chart> Results::Charts(const std::vector<charts::Span>& spans) const {
+  charts::Chart by_second, percentiles, outcomes;
+  by_second.title = "Latency by second", by_second.x_label = "s", by_second.y_label = "ms";
+  by_second.log_y = true;
+  by_second.series = {{"p50", {}}, {"p99", {}}, {"max", {}}};
+  outcomes.title = "Outcomes by second", outcomes.x_label = "s", outcomes.y_label = "requests";
+  by_second.spans = outcomes.spans = spans;
+  for (const auto name : kNames) outcomes.series.push_back({std::string(name), {}});
+  double second = 0;
   for (const Second& s : seconds_) {
-    p50.values.push_back(InMs(s.latencies.Quantile(0.5)));
-    p99.values.push_back(InMs(s.latencies.Quantile(0.99)));
-    most.values.push_back(InMs(s.latencies.most()));
-    highest = std::max(highest, most.values.back());
-    for (std::size_t o = 0; o < kOutcomes; ++o) {
-      outcomes[o].values.push_back(static_cast<double>(s.outcomes[o]));
-      busiest = std::max(busiest, outcomes[o].values.back());
+    const double quantiles[] = {0.5, 0.99, 1};
+    for (std::size_t i = 0; i < 3; ++i) {
+      const double ms = s.latencies.count() == 0 ? std::numeric_limits<double>::quiet_NaN()
+                                                 : InMs(s.latencies.Quantile(quantiles[i]));
+      by_second.series[i].points.push_back({second, ms, 0, 0});
     }
+    for (std::size_t o = 0; o < kOutcomes; ++o)
+      outcomes.series[o].points.push_back({second, static_cast<double>(s.outcomes[o]), 0, 0});
+    ++second;
   }
-  std::vector<Line> curve{{"from the intended time", "#27a", {}},
-                          {"from the send: hides what a stall held back", "#e90", {}}};
-  std::vector<std::string> marks;
+  // What never came is no line at zero.
+  std::erase_if(outcomes.series, [](const charts::Series& s) {
+    return std::all_of(s.points.begin(), s.points.end(), [](const auto& p) { return p.y == 0; });
+  });
+  percentiles.title = "Served, by percentile", percentiles.x_label = "percentile", percentiles.y_label = "ms";
+  percentiles.log_y = true;
+  percentiles.series = {{"from the intended time", {}}, {"from the send", {}}};
   const Latencies open = Served(true), closed = Served(false);
-  for (int nines = 0; nines <= 40; ++nines) {  // p0 to p99.99, evenly in nines
-    const double q = 1 - std::pow(10, -nines / 10.0);
-    curve[0].values.push_back(InMs(open.Quantile(q)));
-    curve[1].values.push_back(InMs(closed.Quantile(q)));
-    marks.push_back(nines % 10 == 0 ? (nines == 0 ? "p0" : "p" + Format("%.4g", 100 * q)) : "");
+  for (int tenths = 0; tenths <= 40; ++tenths) {  // p0 to p99.99, evenly in nines
+    const double nines = tenths / 10.0, q = 1 - std::pow(10, -nines);
+    percentiles.series[0].points.push_back({nines, InMs(open.Quantile(q)), 0, 0});
+    percentiles.series[1].points.push_back({nines, InMs(closed.Quantile(q)), 0, 0});
+    if (tenths % 10 == 0)
+      percentiles.x_names.emplace_back(nines, tenths == 0 ? "p0" : "p" + Format("%.4g", 100 * q));
   }
-  const double top = std::max(highest, InMs(open.most()));
-  return "<!doctype html><html lang='en'><meta charset='utf-8'><title>" + Escaped(title) +
-         "</title><style>body{font:15px sans-serif;max-width:900px;margin:2em auto;padding:0 "
-         "1em}svg{width:100%}"
-         ".g{stroke:#ddd}text{font-size:11px;fill:#555}.y{text-anchor:end}.x{text-anchor:middle}"
-         "polyline{stroke-width:1.5}pre{overflow:auto}</style><h1>" +
-         Escaped(title) + "</h1>" +
-         (rules.empty() ? std::string() : "<h2>The four rules</h2><pre>" + Escaped(rules) + "</pre>") +
-         "<h2>Latency by second</h2>" +
-         Svg({p50, p99, most}, 0.01, std::max(1.0, top), true, SecondMarks(seconds_.size()), "ms") +
-         "<h2>Served, by percentile</h2>" + Svg(curve, 0.01, std::max(1.0, top), true, marks, "ms") +
-         "<h2>Outcomes by second</h2>" + Svg(outcomes, 0, busiest, false, SecondMarks(seconds_.size()), "") +
-         "<h2>Table</h2><pre>" + Escaped(Table()) + "</pre></html>\n";
+  return {by_second, percentiles, outcomes};
+}
+
+std::string Results::Html(const std::string& title, const std::vector<std::string>& drawn,
+                          const std::string& rules) const {
+  std::string page =
+      "<!doctype html><html lang='en'><meta charset='utf-8'><title>" + Escaped(title) +
+      "</title><style>body{font:15px sans-serif;max-width:960px;margin:2em auto;padding:0 1em}"
+      "svg{max-width:100%;height:auto}pre{overflow:auto;white-space:pre-wrap}</style><h1>" +
+      Escaped(title) + "</h1>" +
+      (rules.empty() ? std::string() : "<h2>The four rules</h2><pre>" + Escaped(rules) + "</pre>");
+  for (const auto& svg : drawn) page += "<figure>" + svg + "</figure>";
+  return page + "<h2>Table</h2><pre style='white-space:pre'>" + Escaped(Table()) + "</pre></html>\n";
 }
 
 std::string Compare(const Results& a, const Results& b) {
--- a/src/load/results.h
+++ b/src/load/results.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // What a run of load came to: latencies by class and outcome, outcomes by second, the generator's own
-// lateness. Adds up over files, and is shown as a table, as JSON and as one page of HTML that needs nothing
-// else.
+// lateness and the want of connections. Adds up over files, and is shown as a table, as JSON, as charts and
+// as one page of HTML that needs nothing else.
 #ifndef KESTRELLINE_LOAD_RESULTS_H_
 #define KESTRELLINE_LOAD_RESULTS_H_
 
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "charts/chart.h"
 #include "load/latency.h"
 
 namespace kestrelline::load {
@@ -54,19 +55,28 @@
   Latencies Served(bool open_loop) const;  // over all classes
   const std::vector<Class>& classes() const { return classes_; }
   const std::vector<Second>& seconds() const { return seconds_; }
+  // What the machine took too long for: from the intended time until the generator got to it.
   const Latencies& lateness() const { return lateness_; }
+  // From then until a connection was free; of those that were sent.
+  const Latencies& waited() const { return waited_; }
+  // Another run than the one that was planned: for want of time here, or of connections.
+  bool outrun() const;
+  bool short_of_connections() const;
 
   nlohmann::json ToJson() const;
   static Results FromJson(const nlohmann::json& json);  // throws BadResults
 
   std::string Table() const;
-  // `rules`: what the audit of the four rules said, shown as it is.
-  std::string Html(const std::string& title, const std::string& rules = "") const;
+  // `spans`: what explains a peak, marked on the axis of time.
+  std::vector<charts::Chart> Charts(const std::vector<charts::Span>& spans) const;
+  // `drawn`: those charts as SVG, or why there is none. `rules`: what the audit of the four rules said.
+  std::string Html(const std::string& title, const std::vector<std::string>& drawn,
+                   const std::string& rules = "") const;
 
  private:
   std::vector<Class> classes_;
   std::vector<Second> seconds_;
-  Latencies lateness_;
+  Latencies lateness_, waited_;
 };
 
 // Ratios of two runs, b to a, second by second, each with its standard error; "noise" where one error
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -72,6 +72,12 @@
     case kReset:
       hosts_.SetResets(host, fault.amount);
       return until([this, host] { hosts_.SetResets(host, 0); });
+    case kLose:
+      hosts_.SetLoses(host, fault.amount);
+      return until([this, host] { hosts_.SetLoses(host, 0); });
+    case kMute:
+      hosts_.SetMute(host, fault.amount);
+      return until([this, host] { hosts_.SetMute(host, 0); });
     case kRefuse:
       hosts_.SetRefusing(host, true);
       return until([this, host] { hosts_.SetRefusing(host, false); });
--- a/src/sim/hosts.h
+++ b/src/sim/hosts.h
@@ -46,6 +46,8 @@
   void SetStalled(std::uint32_t host, bool stalled);
   void SetBodyPause(std::uint32_t host, Microseconds pause) { hosts_[host].body_pause = pause; }
   void SetResets(std::uint32_t host, double share) { hosts_[host].resets = share; }
+  void SetLoses(std::uint32_t host, double share) { hosts_[host].loses = share; }
+  void SetMute(std::uint32_t host, double share) { hosts_[host].mute = share; }
   void SetRefusing(std::uint32_t host, bool refusing);
   void SetVanished(std::uint32_t host, bool vanished);
 
@@ -57,6 +59,11 @@
   void NodeDied(std::uint32_t node);
   void CloseIdle(std::uint32_t node, std::uint32_t host);
 
+  // Attempts between their first byte and their end; those of them that are worked on, and that wait for it.
+  std::size_t there(std::uint32_t host) const { return hosts_[host].there.size(); }
+  int running(std::uint32_t host) const { return hosts_[host].model.running(); }
+  int queued(std::uint32_t host) const { return hosts_[host].model.queued(); }
+
   std::uint64_t opened() const { return opened_; }    // connections
   std::uint64_t dropped() const { return dropped_; }  // repeats of a key
 
@@ -66,7 +73,7 @@
     const standin::ConverterSpec* spec = nullptr;
     standin::ConverterModel model;
     bool up = false, draining = false, stalled = false, refusing = false, vanished = false;
-    double resets = 0;
+    double resets = 0, loses = 0, mute = 0;  // shares
     Microseconds body_pause{0}, wakes{-1};
     std::uint64_t life = 0;  // of its connections
     std::unordered_map<standin::JobId, AttemptPtr> jobs;
@@ -82,6 +89,8 @@
   }
 
   void Arrive(const AttemptPtr& attempt);
+  void ArriveWhole(const AttemptPtr& attempt);
+  bool Chance(double share) { return share > 0 && static_cast<double>(draw_() >> 11) * 0x1.0p-53 < share; }
   void Work(const AttemptPtr& attempt, Host& host);
   void Reply(const AttemptPtr& attempt, brackenspoke::Outcome outcome, Microseconds pause);
   void ResetAll(Host& host);
--- a/src/sim/node.cpp
+++ b/src/sim/node.cpp
@@ -9,8 +9,8 @@
 
 using namespace brackenspoke;
 
-Node::Node(std::uint32_t number, Settings settings, Hooks hooks)
-    : number_(number), settings_(std::move(settings)), hooks_(std::move(hooks)) {}
+Node::Node(std::uint32_t number, Settings settings, bool hold, Hooks hooks)
+    : number_(number), settings_(std::move(settings)), hold_(hold), hooks_(std::move(hooks)) {}
 
 // Up to the next whole microsecond: a timer must not fire before the module thinks that it is due.
 Microseconds Node::MomentOf(TimePoint at) {
@@ -23,6 +23,7 @@
 void Node::Start(std::uint64_t seed) {
   ++life_;
   balancer_ = std::make_unique<Balancer>(settings_, seed);
+  last_byte_ = handover::LastByte();
 }
 
 void Node::Die() {
@@ -68,6 +69,7 @@
   end.server = attempt->server;
   end.outcome = outcome;
   end.took = Duration(static_cast<double>((now - attempt->sent).count()) / 1000);
+  last_byte_.OnEnded(TimeOf(now), end.took, attempt->broke);
   const auto found = pending_.find(attempt->request);
   if (found != pending_.end()) --found->second.out;
   if (outcome == Outcome::kOk)
@@ -117,6 +119,10 @@
   attempt->node = number_, attempt->node_life = life_;
   attempt->request = action.request, attempt->server = action.server, attempt->number = number;
   attempt->sent = now;
+  const ClassSettings& c = settings_.classes[pending.of->request_class];
+  if (hold_)
+    attempt->hold = Microseconds(
+        static_cast<std::int64_t>(last_byte_.WaitFor(TimeOf(now), c.effect, c.aim).count() * 1000));
   const Microseconds left = pending.of->due - now;
   const Microseconds asked(static_cast<std::int64_t>(action.timeout.count() * 1000));
   hooks_.send(attempt);
--- a/src/sim/node.h
+++ b/src/sim/node.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "brackenspoke/balancer.h"
+#include "handover/last_byte.h"
 #include "sim/wire.h"
 
 namespace kestrelline::sim {
@@ -32,7 +33,8 @@
     std::function<void(const brackenspoke::Event&, const std::vector<brackenspoke::Action>&)> decided;
   };
 
-  Node(std::uint32_t number, brackenspoke::Settings settings, Hooks hooks);
+  // `hold`: whether last bytes are held back at all.
+  Node(std::uint32_t number, brackenspoke::Settings settings, bool hold, Hooks hooks);
 
   bool up() const { return balancer_ != nullptr; }
   std::uint64_t life() const { return life_; }
@@ -74,8 +76,10 @@
 
   std::uint32_t number_;
   brackenspoke::Settings settings_;
+  bool hold_;
   Hooks hooks_;
   std::unique_ptr<brackenspoke::Balancer> balancer_;
+  handover::LastByte last_byte_;
   std::uint64_t life_ = 0;
   brackenspoke::RequestId last_request_ = 0;
   std::unordered_map<brackenspoke::RequestId, Pending> pending_;
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <tuple>
 #include <utility>
 
 #include "config.h"
@@ -130,7 +131,7 @@
     }
     hooks.tamper_with_event = options_.tamper_with_event;
     hooks.tamper_with_actions = options_.tamper_with_actions;
-    proxies_[n].node = std::make_unique<Node>(n, SettingsOf(scenario_, n), std::move(hooks));
+    proxies_[n].node = std::make_unique<Node>(n, SettingsOf(scenario_, n), scenario_.hold, std::move(hooks));
   }
 }
 
@@ -148,12 +149,15 @@
     kernel_.At(begin + fault.at, [this, fault] { Apply(fault); });
   kernel_.At(begin, [this] { Pull(); });
   for (Microseconds until = kSecond; !breached_; until += kSecond) {
+    if (options_.until.count() >= 0) until = std::min(until, options_.until);
     while (!breached_ && kernel_.Step(until)) {
     }
+    if (until == options_.until) break;
     if (options_.on_progress) options_.on_progress(kernel_.now());
     if (arrivals_over_ && calls_.empty()) break;
   }
   report_.took = kernel_.now();
+  report_.history = history_;
   report_.events = kernel_.events();
   report_.connections = hosts_.opened();
   report_.repeats_dropped = hosts_.dropped();
@@ -162,6 +166,27 @@
   return std::move(report_);
 }
 
+Simulation::State Simulation::Look() const {
+  State state;
+  for (const Proxy& proxy : proxies_)
+    state.proxies.push_back({proxy.node->up(), proxy.paused, proxy.revision, proxy.node->held()});
+  for (std::uint32_t h = 0; h < hosts_.size(); ++h)
+    state.servers.push_back(
+        {hosts_.id(h), hosts_.up(h), hosts_.there(h), hosts_.running(h), hosts_.queued(h)});
+  state.history = history_;
+  return state;
+}
+
+bool Simulation::State::operator==(const State& other) const {
+  const auto proxy = [](const Proxy& p) { return std::tuple(p.up, p.paused, p.revision, p.held); };
+  const auto server = [](const Server& s) { return std::tuple(s.id, s.up, s.attempts, s.running, s.queued); };
+  return history == other.history &&
+         std::equal(proxies.begin(), proxies.end(), other.proxies.begin(), other.proxies.end(),
+                    [&](const auto& a, const auto& b) { return proxy(a) == proxy(b); }) &&
+         std::equal(servers.begin(), servers.end(), other.servers.begin(), other.servers.end(),
+                    [&](const auto& a, const auto& b) { return server(a) == server(b); });
+}
+
 Microseconds Simulation::Jitter() {
   const auto most = static_cast<std::uint64_t>(scenario_.network.jitter.count());
   return Microseconds(static_cast<std::int64_t>(draw_() % (most + 1)));
@@ -177,11 +202,11 @@
 }
 
 void Simulation::Tell(const Event& event) {
-  report_.history = hashing::Mixed(report_.history ^ static_cast<std::uint64_t>(event.at.count()));
+  history_ = hashing::Mixed(history_ ^ static_cast<std::uint64_t>(event.at.count()));
   for (const std::string* text : {&event.request, &event.proxy, &event.subject})
-    report_.history = hashing::Fnv1a(*text, report_.history);
-  report_.history = hashing::Mixed(report_.history + static_cast<std::uint64_t>(event.kind) * 31 +
-                                   static_cast<std::uint64_t>(event.number));
+    history_ = hashing::Fnv1a(*text, history_);
+  history_ = hashing::Mixed(history_ + static_cast<std::uint64_t>(event.kind) * 31 +
+                            static_cast<std::uint64_t>(event.number));
   if (options_.on_event) options_.on_event(event);
   if (!options_.audit) return;
   load::Tell(ledger_, figures_, event);
--- a/src/sim/simulation.h
+++ b/src/sim/simulation.h
@@ -54,6 +54,26 @@
     std::function<void(brackenspoke::Event*)> tamper_with_event;
     std::function<void(std::vector<brackenspoke::Action>*)> tamper_with_actions;
     std::function<void(Microseconds at)> on_progress;  // each virtual second
+    Microseconds until{-1};                            // ends there; below 0: at the end
+  };
+
+  // The state at the moment at which Run came back.
+  struct State {
+    struct Proxy {
+      bool up = false, paused = false;
+      std::uint64_t revision = 0;  // of its list
+      std::size_t held = 0;        // requests without an answer, or with an attempt out
+    };
+    struct Server {
+      std::string id;
+      bool up = false;
+      std::size_t attempts = 0;
+      int running = 0, queued = 0;
+    };
+    std::vector<Proxy> proxies;
+    std::vector<Server> servers;
+    std::uint64_t history = 0;
+    bool operator==(const State&) const;
   };
 
   // `scenario` must outlive it.
@@ -61,6 +81,7 @@
   ~Simulation();
 
   Report Run();
+  State Look() const;
 
  private:
   struct Call {
@@ -122,6 +143,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_;
   std::uint64_t last_call_ = 0, last_try_ = 0, next_target_ = 0, replaced_ = 0;
   bool late_list_ = false, discovery_down_ = false, arrivals_over_ = false, breached_ = false;
+  std::uint64_t history_ = 0;
   Report report_;
 };
 
--- a/src/sim/wire.h
+++ b/src/sim/wire.h
@@ -42,6 +42,8 @@
   bool written = false;                  // its last byte may have come to the server
   bool began = false, finished = false;  // at the server, as the ledger was told
   bool kept = false;                     // on a connection that had served before
+  Microseconds hold{0};                  // its last byte is written so much later than the others
+  bool broke = false;                    // its connection broke before any of its answer came
   standin::JobId job = 0;
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
--- a/src/standin/converter.cpp
+++ b/src/standin/converter.cpp
@@ -53,6 +53,7 @@
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error& failed) {
       if (self->state_ != State::kWaiting) return;
       if (failed) return self->Close();
+      if (self->owner_->Chance(self->owner_->loses_)) return self->ResetNow();
       self->first_byte_ = self->owner_->Now();
       self->Read();
     });
@@ -62,13 +63,14 @@
     if (state_ != State::kWorking) return;
     if (owner_->Hold([self = shared_from_this()] { self->Resume(&Connection::Answer); })) return;
     const SiteClass& c = *class_;
+    if (c.effect == load::Effect::kUnsafe && owner_->Chance(owner_->mute_))
+      return;  // until its sender leaves
     std::string body = std::string(load::kMadeFor) + request_ + "\n";
     if (body.size() < c.answer_bytes) body.resize(c.answer_bytes, '.');
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + LoadReport() +
                        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     const std::size_t half = head.size() + body.size() / 2;
-    const bool reset =
-        owner_->resets_ > 0 && static_cast<double>(owner_->draw_() >> 11) * 0x1.0p-53 < owner_->resets_;
+    const bool reset = owner_->Chance(owner_->resets_);
     Finish(true);
     Write(head + body, reset || owner_->body_pause_.count() > 0 ? half : 0, reset);
   }
--- a/src/standin/converter.h
+++ b/src/standin/converter.h
@@ -63,6 +63,8 @@
   void SetStalled(bool stalled);
   void SetBodyPause(Microseconds pause) { body_pause_ = pause; }
   void SetResets(double share) { resets_ = share; }
+  void SetLoses(double share) { loses_ = share; }
+  void SetMute(double share) { mute_ = share; }
   void SetRefusing(bool refusing);
   void SetVanished(bool vanished);
 
@@ -82,6 +84,7 @@
   void Shut();
   void Accept(std::size_t door);
   bool Hold(std::function<void()> then);
+  bool Chance(double share) { return share > 0 && static_cast<double>(draw_() >> 11) * 0x1.0p-53 < share; }
   void ResetAll();
   void ArmTimer();
   void Sweep();
@@ -102,7 +105,7 @@
   JobId last_job_ = 0;
   std::uint64_t dropped_ = 0, life_ = 0;
   Microseconds body_pause_{0};
-  double resets_ = 0;
+  double resets_ = 0, loses_ = 0, mute_ = 0;  // shares
   bool up_ = false, draining_ = false, stalled_ = false, vanished_ = false;
 };
 
--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -19,6 +19,8 @@
       {kStall, "stall", Target::kConverters, "", 0, 0},
       {kStallBody, "stall_body", Target::kConverters, "how long an answer pauses, in ms", 1, 60000},
       {kReset, "reset", Target::kConverters, "the share of answers, 0 to 1", 0, 1},
+      {kLose, "lose", Target::kConverters, "the share of requests, 0 to 1", 0, 1},
+      {kMute, "mute", Target::kConverters, "the share of unsafe requests, 0 to 1", 0, 1},
       {kRefuse, "refuse", Target::kConverters, "", 0, 0},
       {kVanish, "vanish", Target::kConverters, "", 0, 0},
       {kDrain, "drain", Target::kConverters, "", 0, 0},
--- a/src/standin/faults.h
+++ b/src/standin/faults.h
@@ -23,6 +23,8 @@
     kStall,      // reads, writes and accepts nothing
     kStallBody,  // every answer pauses in its middle, for `amount` ms
     kReset,      // a share `amount` of its answers ends in a reset in the middle of the body
+    kLose,       // a share `amount` of its connections is reset as a request comes on them
+    kMute,       // a share `amount` of its unsafe requests is never answered; all others are
     kRefuse,     // nobody listens, and what is open is reset
     kVanish,     // open connections fall silent, new ones never come up; all are reset when it is back
     kDrain,      // terminating, and gone after `lasts`
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -213,6 +213,12 @@
     case kReset:
       c.SetResets(fault.amount);
       return until([](Converter& x) { x.SetResets(0); });
+    case kLose:
+      c.SetLoses(fault.amount);
+      return until([](Converter& x) { x.SetLoses(0); });
+    case kMute:
+      c.SetMute(fault.amount);
+      return until([](Converter& x) { x.SetMute(0); });
     case kRefuse:
       c.SetRefusing(true);
       return until([](Converter& x) { x.SetRefusing(false); });
--- a/tests/sim/simulation_test.cpp
+++ b/tests/sim/simulation_test.cpp
@@ -8,12 +8,14 @@
 
 #include <atomic>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "sim/shrink.h"
+#include "sim/words.h"
 #include "standin/site.h"
 
 namespace kestrelline::sim {
@@ -82,6 +84,66 @@
   }
 }
 
+TEST(Simulation, AReplayBringsTheSameStateBack) {
+  const Scenario scenario = Rehearsal(20, 9);
+  Simulation::Options options;
+  options.until = Microseconds(12345678);
+  std::vector<std::string> logs[2];
+  std::optional<Simulation::State> states[2];
+  for (int time = 0; time < 2; ++time) {
+    options.on_decision = [&, time](std::uint32_t node, Microseconds at, const Event& event,
+                                    const std::vector<Action>& actions) {
+      std::string line = std::to_string(at.count()) + " " + std::to_string(node) + " " + InWords(event);
+      for (const auto& action : actions) line += "; " + InWords(action);
+      logs[time].push_back(line);
+    };
+    Simulation simulation(scenario, options);
+    EXPECT_EQ(simulation.Run().took, options.until);
+    states[time] = simulation.Look();
+  }
+  EXPECT_TRUE(*states[0] == *states[1]);
+  EXPECT_EQ(logs[0], logs[1]);
+  EXPECT_GT(logs[0].size(), 1000u);
+  std::size_t held = 0;
+  for (const auto& proxy : states[0]->proxies) held += proxy.held;
+  EXPECT_GT(held, 0u);
+}
+
+double FailedShare(const Report& report) {
+  return static_cast<double>(report.results.Count(load::Outcome::kFailed)) /
+         static_cast<double>(report.results.total());
+}
+
+// One in twenty connections breaks as a request comes on it: what cannot be repeated is lost with it, unless
+// its last byte was held back.
+TEST(Simulation, HeldLastBytesSaveWhatBreaksUnderThem) {
+  Scenario scenario = Rehearsal(30, 5);
+  scenario.site.faults = {
+      {Microseconds(0), standin::Fault::Kind::kLose, "100%", Microseconds(30000000), 0.05}};
+  const Report held = Simulation(scenario, {}).Run();
+  scenario.hold = false;
+  const Report at_once = Simulation(scenario, {}).Run();
+  EXPECT_TRUE(held.verdict.clean()) << Violations(held);
+  EXPECT_TRUE(at_once.verdict.clean()) << Violations(at_once);
+  EXPECT_GT(FailedShare(at_once), 0.008);
+  EXPECT_LT(FailedShare(held), FailedShare(at_once) / 5);
+}
+
+// A third of the servers answers half of its certified copies with silence, and all else.
+TEST(Simulation, AClassThatSomeServersLoseGoesToTheOthers) {
+  Scenario scenario = Rehearsal(40, 6);
+  scenario.site.faults = {
+      {Microseconds(5000000), standin::Fault::Kind::kMute, "33%", Microseconds(35000000), 0.5}};
+  const Report report = Simulation(scenario, {}).Run();
+  EXPECT_TRUE(report.verdict.clean()) << Violations(report);
+  // 23 % are certified copies; by even shares 23 % x 33 % x 50 % = 3.8 % would be lost for seven eighths of
+  // it.
+  const double lost = 1 - static_cast<double>(report.results.Count(load::Outcome::kServed)) /
+                              static_cast<double>(report.results.total());
+  EXPECT_LT(lost, 0.012);
+  EXPECT_GT(lost, 0);
+}
+
 // Breaks what `tamper` guards; the rule that is found broken first, by name.
 std::string FirstBroken(const Scenario& scenario, Simulation::Options options) {
   const Report report = Simulation(scenario, std::move(options)).Run();
--- a/tests/support/temporary.h
+++ b/tests/support/temporary.h
@@ -27,6 +27,7 @@
   TemporaryFolder(const TemporaryFolder&) = delete;
   TemporaryFolder& operator=(const TemporaryFolder&) = delete;
 
+  std::string path() const { return path_.string(); }
   std::string operator/(const std::string& name) const { return (path_ / name).string(); }
   void Write(const std::string& name, const std::string& text) const {
     std::ofstream(path_ / name, std::ios::binary | std::ios::trunc) << text;
--- a/tools/kestrelload/main.cpp
+++ b/tools/kestrelload/main.cpp
@@ -7,13 +7,14 @@
 //   kestrelload replay TRACE --plan PLAN.toml [--speed X] [--from S] [--until S] [the same]
 //   kestrelload report FILE... [--html FILE] [--json FILE]     files of --json, added up
 //                      [--events FILE ...]       and the four rules, judged by what clients and fleet saw
+//                      [--faults SITE.toml]      marks the faults of the site in the charts
 //   kestrelload compare A B
 //   kestrelload show TRACE                       a trace as CSV
 //   kestrelload convert csv|access-log FILE TRACE
 //
 // Exit codes: 0; 1 if something could not be read or written, or a plan is refused; 2 for wrong arguments; 3
-// if the generator was outrun, so that the run was not the one that was planned; 4 if a rule was broken, or
-// not all could be audited.
+// if the generator was outrun or requests were not sent, so that the run was not the one that was planned; 4
+// if a rule was broken, or not all could be audited.
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -27,6 +28,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "charts/gnuplot.h"
 #include "load/convert.h"
 #include "load/engine.h"
 #include "load/events.h"
@@ -35,6 +37,7 @@
 #include "load/trace.h"
 #include "operator/diagnostics.h"
 #include "operator/read_file.h"
+#include "standin/site.h"
 
 namespace {
 
@@ -45,7 +48,7 @@
 constexpr int kBad = 1, kOutrun = 3, kBroken = 4;
 
 struct Arguments {
-  std::string plan, trace, json, html, record, format, input;
+  std::string plan, trace, json, html, record, format, input, faults;
   std::vector<std::string> files, targets, events;
   double speed = 1, from = 0, until = 0;
 };
@@ -94,6 +97,32 @@
   if (!out) throw Unusable(path + ": cannot be written");
 }
 
+// With charts by gnuplot; where there is none, the page says why.
+void WritePage(const Arguments& arguments, const std::string& title, const Results& results,
+               const std::string& rules) {
+  std::vector<kestrelline::charts::Span> spans;
+  if (!arguments.faults.empty()) {
+    kestrelline::operator_file::Diagnostics diagnostics(arguments.faults);
+    const auto text = kestrelline::operator_file::ReadWhole(
+        arguments.faults, kestrelline::operator_file::kMostFileBytes, &diagnostics);
+    const auto site = text ? kestrelline::standin::ReadSite(*text, &diagnostics) : std::nullopt;
+    if (!site) throw Unusable(diagnostics.Lines().front());
+    for (const auto& fault : site->faults) {
+      const auto seconds = [](Microseconds us) { return static_cast<double>(us.count()) / 1e6; };
+      spans.push_back({seconds(fault.at), seconds(fault.at + fault.lasts),
+                       std::string(kestrelline::standin::KindOf(fault.kind).name) + " " + fault.who});
+    }
+  }
+  std::vector<std::string> drawn;
+  for (const auto& chart : results.Charts(spans)) {
+    std::string why;
+    const auto svg = kestrelline::charts::Svg(chart, &why);
+    if (!svg) std::cerr << "kestrelload: " << chart.title << " is not drawn: " << why << '\n';
+    drawn.push_back(svg.value_or("<p>" + chart.title + " is not drawn.</p>"));
+  }
+  WriteFile(arguments.html, results.Html(title, drawn, rules));
+}
+
 TraceOutcome InTrace(Outcome outcome) {
   switch (outcome) {
     case Outcome::kServed:
@@ -224,12 +253,12 @@
     if (!events_file) throw Unusable(arguments.events.front() + ": cannot be written");
   }
   if (!arguments.json.empty()) WriteFile(arguments.json, results.ToJson().dump() + "\n");
-  if (!arguments.html.empty()) WriteFile(arguments.html, results.Html("kestrelload " + arguments.plan));
+  if (!arguments.html.empty()) WritePage(arguments, "kestrelload " + arguments.plan, results, "");
   std::cout << results.Table();
   if (engine.descriptors_ran_out_at() > 0)
     std::cout << "descriptors ran out at " << engine.descriptors_ran_out_at()
               << " connections; the plan wants " << plan.connections << "\n";
-  return results.Count(Outcome::kUnsent) > 0 ? kOutrun : 0;
+  return results.outrun() || results.Count(Outcome::kUnsent) > 0 ? kOutrun : 0;
 }
 
 int Run(const Arguments& arguments) {
@@ -310,7 +339,7 @@
     json["rules"] = ToJson(verdict);
   }
   if (!arguments.json.empty()) WriteFile(arguments.json, json.dump() + "\n");
-  if (!arguments.html.empty()) WriteFile(arguments.html, all.Html("kestrelload", rules));
+  if (!arguments.html.empty()) WritePage(arguments, "kestrelload", all, rules);
   std::cout << all.Table() << '\n' << (rules.empty() ? kNotAudited : rules);
   return clean ? 0 : kBroken;
 }
@@ -373,6 +402,7 @@
   report->add_option("FILE", arguments.files)->required();
   for (auto* sub : {run, replay, report})
     sub->add_option("--html", arguments.html, "A page that needs nothing else");
+  report->add_option("--faults", arguments.faults, "A site's file, whose faults are marked in the charts");
   report->add_option("--json", arguments.json, "The sum, and the verdict, as JSON");
   report->add_option("--events", arguments.events, "Of clients and fleet: the four rules are judged by them");
   auto* compare = app.add_subcommand("compare", "Ratios of two results");
--- a/tools/kestrelsim/main.cpp
+++ b/tools/kestrelsim/main.cpp
@@ -4,6 +4,7 @@
 //
 //   kestrelsim run SITE PLAN [--seed N] [--runs N] [--json FILE] [--events FILE] [--hints] [--no-audit]
 //   kestrelsim explain SITE PLAN --request ID [--seed N]
+//   kestrelsim replay SITE PLAN --until S [--from S] [--seed N]
 //   kestrelsim shrink SITE PLAN [--seed N]
 //
 // SITE and PLAN are those of kestrelfleet and kestrelload; a plan's targets are the site's proxies. A breach
@@ -15,6 +16,7 @@
 
 #include <CLI/CLI.hpp>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <memory>
@@ -27,6 +29,7 @@
 #include "operator/read_file.h"
 #include "sim/shrink.h"
 #include "sim/simulation.h"
+#include "sim/words.h"
 #include "standin/site.h"
 
 namespace {
@@ -38,6 +41,7 @@
 
 struct Arguments {
   std::string site, plan, json, events, request;
+  double from = -1, until = 0;
   std::uint64_t seed = 1;
   int runs = 1;
   bool hints = false, no_audit = false;
@@ -107,7 +111,14 @@
       static_cast<unsigned long long>(report.history));
   std::fflush(stdout);
   const bool broken = !report.verdict.violations.empty();
-  if (broken) std::printf("%s", load::Shown(report.verdict).c_str());
+  if (broken) {
+    std::printf("%s", load::Shown(report.verdict).c_str());
+    std::printf(
+        "kestrelsim replay %s %s --seed %llu --until %.6f brings back the state and the decisions before "
+        "it\n",
+        arguments.site.c_str(), arguments.plan.c_str(), static_cast<unsigned long long>(scenario.seed),
+        simulated);
+  }
   if (*all) {
     **all += report.results;
   } else {
@@ -148,6 +159,41 @@
   return found ? 0 : kBad;
 }
 
+// The same state again, and what led to it.
+int Replay(const sim::Scenario& scenario, const Arguments& arguments) {
+  const auto moment = [](double s) { return sim::Microseconds(std::llround(s * 1e6)); };
+  sim::Simulation::Options options;
+  options.until = moment(arguments.until);
+  const sim::Microseconds from =
+      arguments.from < 0 ? options.until - sim::Microseconds(100000) : moment(arguments.from);
+  options.on_log = [&](sim::Microseconds at, const std::string& what) {
+    if (at >= from) std::printf("%12.6f  fault  %s\n", Seconds(at), what.c_str());
+  };
+  options.on_decision = [&](std::uint32_t node, sim::Microseconds at, const brackenspoke::Event& event,
+                            const std::vector<brackenspoke::Action>& actions) {
+    if (at < from) return;
+    std::string line = sim::InWords(event);
+    for (const auto& action : actions) line += "; " + sim::InWords(action);
+    std::printf("%12.6f  n%-4u  %s\n", Seconds(at), node, line.c_str());
+  };
+  sim::Simulation simulation(scenario, options);
+  const sim::Report report = simulation.Run();
+  const auto state = simulation.Look();
+  std::printf("at %.6f s, history %016llx\n", Seconds(report.took),
+              static_cast<unsigned long long>(state.history));
+  for (std::size_t n = 0; n < state.proxies.size(); ++n) {
+    const auto& proxy = state.proxies[n];
+    std::printf("  n%zu: %s%s, list %llu, holds %zu\n", n, proxy.up ? "up" : "down",
+                proxy.paused ? ", paused" : "", static_cast<unsigned long long>(proxy.revision), proxy.held);
+  }
+  for (const auto& server : state.servers)
+    std::printf("  %s: %s, %zu attempts, %d running, %d waiting\n", server.id.c_str(),
+                server.up ? "up" : "down", server.attempts, server.running, server.queued);
+  if (!report.verdict.violations.empty() && report.stopped)
+    std::printf("%s", load::Shown(report.verdict).c_str());
+  return report.stopped ? kBroken : 0;
+}
+
 int Shrink(const sim::Scenario& scenario) {
   const auto fails = [](const sim::Scenario& candidate) {
     return !sim::Simulation(candidate, {}).Run().verdict.violations.empty();
@@ -193,6 +239,9 @@
   run->add_flag("--no-audit", arguments.no_audit, "faster, and nobody judges the rules");
   CLI::App* explain = command("explain", "all that became of one request, and what its proxy said meanwhile");
   explain->add_option("--request", arguments.request, "its Req-Id")->required();
+  CLI::App* replay = command("replay", "the state at a moment, and the decisions that led to it");
+  replay->add_option("--until", arguments.until, "the moment, in seconds of virtual time")->required();
+  replay->add_option("--from", arguments.from, "decisions from here on; 0.1 s before it without");
   command("shrink", "the smallest site, load and faults that still break a rule");
   try {
     app.parse(argc, argv);
@@ -202,6 +251,7 @@
   auto scenario = ScenarioOf(arguments);
   if (!scenario) return kBad;
   if (app.got_subcommand("explain")) return Explain(*scenario, arguments.request);
+  if (app.got_subcommand("replay")) return Replay(*scenario, arguments);
   if (app.got_subcommand("shrink")) return Shrink(*scenario);
   bool kept = true;
   std::optional<load::Results> all;
