--- a/src/charts/chart.cpp
+++ b/src/charts/chart.cpp
@@ -13,7 +13,8 @@
 constexpr const char* kColours[] = {"#1b7f5c", "#1f5fa8", "#c0392b", "#d98c10",
                                     "#6c4ba3", "#555555", "#0f8b8d", "#a0522d"};
 
-// A gnuplot string in single quotes, in which nothing means anything but the quote: that becomes an apostrophe.
+// A gnuplot string in single quotes, in which nothing means anything but the quote: that becomes an
+// apostrophe.
 std::string Quoted(const std::string& text) {
   std::string quoted = "'";
   for (const char c : text.substr(0, kMostName)) {
@@ -26,6 +27,13 @@
   return quoted + "'";
 }
 
+// Where gnuplot takes the string for a format.
+std::string Tic(const std::string& text) {
+  std::string quoted;
+  for (const char c : Quoted(text)) quoted += c == '%' ? std::string("%%") : std::string(1, c);
+  return quoted;
+}
+
 std::string Number(double value) {
   if (!std::isfinite(value)) return "NaN";
   char text[40];
@@ -37,7 +45,7 @@
   if (names.empty()) return "";
   std::string text = std::string("set ") + axis + "tics (";
   for (std::size_t i = 0; i < names.size(); ++i)
-    text += (i ? ", " : "") + Quoted(names[i].second) + " " + Number(names[i].first);
+    text += (i ? ", " : "") + Tic(names[i].second) + " " + Number(names[i].first);
   return text + (slanted ? ") rotate by -25 left\n" : ")\n");
 }
 
@@ -127,7 +135,7 @@
     text += "set palette defined (0 '#fdf6e3', 0.5 '#7fb8a4', 1 '#1b5f7c')\nunset grid\nset autoscale fix\n";
   } else {
     text += chart.spans.empty() ? "set key outside right top\n" : "set key outside right center\n";
-    if (!chart.log_y) text += "set offsets graph 0, 0, 0.04, 0\n";
+    if (!chart.log_y) text += "set autoscale noextend\nset offsets graph 0, 0, 0.04, 0.04\n";
   }
   if (plot.empty()) return text + "set xrange [0:1]\nset yrange [0:1]\nplot NaN notitle\n";
   return text + plot + "\n";
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,8 @@
 struct Scenario {
   standin::SiteSpec site;
   load::Plan plan;  // its targets are the proxies of the site
+  // A recorded trace in place of the plan's arrivals, in the order of its times; classes are the plan's.
+  std::shared_ptr<const std::vector<load::Arrival>> trace;
   Network network;
   std::uint64_t seed = 1;  // of the order of events, delays and chance in the proxies; load has the plan's,
                            // and faults and work the site's
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -226,7 +226,12 @@
 // ---- clients --------------------------------------------------------------------------------------------
 
 void Simulation::Pull() {
-  const auto arrival = arrivals_.Next();
+  std::optional<load::Arrival> arrival;
+  if (!scenario_.trace) {
+    arrival = arrivals_.Next();
+  } else if (next_of_trace_ < scenario_.trace->size()) {
+    arrival = (*scenario_.trace)[next_of_trace_++];
+  }
   if (!arrival) {
     arrivals_over_ = true;
     return;
--- a/src/sim/simulation.h
+++ b/src/sim/simulation.h
@@ -140,6 +140,7 @@
   std::vector<Proxy> proxies_;
   std::vector<int> zones_;  // by host
   load::Arrivals arrivals_;
+  std::size_t next_of_trace_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_;
   std::uint64_t last_call_ = 0, last_try_ = 0, next_target_ = 0, replaced_ = 0;
   bool late_list_ = false, discovery_down_ = false, arrivals_over_ = false, breached_ = false;
--- a/tests/sim/simulation_test.cpp
+++ b/tests/sim/simulation_test.cpp
@@ -8,6 +8,8 @@
 
 #include <atomic>
 #include <fstream>
+#include <memory>
+#include <numeric>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -109,6 +111,22 @@
   EXPECT_GT(held, 0u);
 }
 
+// What was recorded is played at its own times, and once.
+TEST(Simulation, ATraceIsPlayedInPlaceOfThePlan) {
+  Scenario scenario = Rehearsal(5, 3);
+  auto trace = std::make_shared<std::vector<load::Arrival>>();
+  for (int i = 0; i < 400; ++i)
+    trace->push_back({Microseconds(i * 5000), static_cast<std::uint32_t>(i % 3), 0, 0, 0});
+  scenario.trace = trace;
+  const Report report = Simulation(scenario, {}).Run();
+  EXPECT_EQ(report.results.total(), 400u);
+  EXPECT_TRUE(report.verdict.clean()) << Violations(report);
+  ASSERT_GE(report.results.seconds().size(), 2u);
+  EXPECT_EQ(std::accumulate(report.results.seconds()[0].outcomes.begin(),
+                            report.results.seconds()[0].outcomes.end(), std::uint64_t{0}),
+            200u);
+}
+
 double FailedShare(const Report& report) {
   return static_cast<double>(report.results.Count(load::Outcome::kFailed)) /
          static_cast<double>(report.results.total());
--- a/tools/kestrelsim/main.cpp
+++ b/tools/kestrelsim/main.cpp
@@ -3,6 +3,7 @@
 // A site and a plan of load in virtual time.
 //
 //   kestrelsim run SITE PLAN [--seed N] [--runs N] [--json FILE] [--events FILE] [--hints] [--no-audit]
+//                  [--trace FILE]     (of kestrelload, in place of the plan's arrivals; with all commands)
 //   kestrelsim explain SITE PLAN --request ID [--seed N]
 //   kestrelsim replay SITE PLAN --until S [--from S] [--seed N]
 //   kestrelsim shrink SITE PLAN [--seed N]
@@ -15,6 +16,7 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
@@ -26,6 +28,7 @@
 
 #include "load/events.h"
 #include "load/plan.h"
+#include "load/trace.h"
 #include "operator/read_file.h"
 #include "sim/shrink.h"
 #include "sim/simulation.h"
@@ -40,7 +43,7 @@
 constexpr standin::SiteBounds kBounds{100000, 10000};
 
 struct Arguments {
-  std::string site, plan, json, events, request;
+  std::string site, plan, json, events, request, trace;
   double from = -1, until = 0;
   std::uint64_t seed = 1;
   int runs = 1;
@@ -56,6 +59,38 @@
   return loaded;
 }
 
+constexpr std::size_t kMostOfTrace = 20000000;  // requests; 24 bytes each
+
+// Null, and a message, if it is none or names a class that the plan has not.
+std::shared_ptr<const std::vector<load::Arrival>> ReadTrace(const Arguments& arguments,
+                                                            const load::Plan& plan) {
+  const auto refuse = [&](const std::string& why) {
+    std::fprintf(stderr, "%s: %s\n", arguments.trace.c_str(), why.c_str());
+    return nullptr;
+  };
+  std::ifstream file(arguments.trace, std::ios::binary);
+  if (!file) return refuse("cannot be read");
+  try {
+    load::TraceReader reader(file);
+    std::vector<std::uint32_t> classes;
+    for (const auto& name : reader.head().classes) {
+      const auto found = std::find_if(plan.classes.begin(), plan.classes.end(),
+                                      [&](const auto& c) { return c.name == name; });
+      if (found == plan.classes.end()) return refuse("its class '" + name + "' is none of the plan");
+      classes.push_back(static_cast<std::uint32_t>(found - plan.classes.begin()));
+    }
+    auto trace = std::make_shared<std::vector<load::Arrival>>();
+    while (auto record = reader.Next()) {
+      if (trace->size() == kMostOfTrace) return refuse("more than 20 million requests");
+      record->arrival.request_class = classes[record->arrival.request_class];
+      trace->push_back(record->arrival);
+    }
+    return trace;
+  } catch (const std::exception& error) {
+    return refuse(error.what());
+  }
+}
+
 std::optional<sim::Scenario> ScenarioOf(const Arguments& arguments) {
   auto site = Load(arguments.site, [](std::string_view text, operator_file::Diagnostics* d) {
     return standin::ReadSite(text, d, kBounds);
@@ -77,6 +112,10 @@
   scenario.plan = std::move(*plan);
   scenario.seed = arguments.seed;
   scenario.hints = arguments.hints;
+  if (!arguments.trace.empty()) {
+    scenario.trace = ReadTrace(arguments, scenario.plan);
+    if (!scenario.trace) return std::nullopt;
+  }
   return scenario;
 }
 
@@ -228,6 +267,7 @@
     sub->add_option("SITE", arguments.site, "the site, as kestrelfleet takes it")->required();
     sub->add_option("PLAN", arguments.plan, "the load, as kestrelload takes it")->required();
     sub->add_option("--seed", arguments.seed, "of the order of events, delays, and chance in the proxies");
+    sub->add_option("--trace", arguments.trace, "arrivals of kestrelload --record, in place of the plan's");
     sub->add_flag("--hints", arguments.hints, "clients say what their requests cost");
     return sub;
   };
