What stood twice stands once: pages, fault spans, nines, classes by name, chances

Reports of the lab and of the generator each escaped text, wrote a head of HTML, made spans of faults and percentiles by nines; four places looked classes up by name, one of them for each simulated request; the bits of a draw became a share in three places; every chart of a report was drawn as SVG twice; a dispatch and an attempt's end read the clock once more than they need. Change: charts/page.h, standin::SpanOf, load::ByNines and NamesOfNines, load::IndicesOf and ClassNames, hashing::Unit; Draw gives the SVG that it wrote; the simulator's states compare by default, a level is put in by one path, check.sh has one function for what must hold and what must fail, and what it could not check is neither.

--- a/models/check.sh
+++ b/models/check.sh
@@ -32,44 +32,40 @@
 }
 
 failed=0
-# model file, defines, label, properties that hold
-hold() {
-  make_pan "$3" "$1" "$2" || return 1
-  local property errors states seconds
-  for property in $4; do
-    read -r errors states seconds < <(run_pan "$3" "$property") || { errors=?; }
-    printf '%-12s %-16s %9s states %6s s  %s\n' "$3" "$property" "${states:-?}" "${seconds:-?}" \
-      "$([[ $errors == 0 ]] && echo holds || echo FAILS)"
-    [[ $errors == 0 ]] || failed=1
+# holds or fails: what each property must do; model file, defines, label, properties
+must() {
+  make_pan "$4" "$2" "$3" || return 1
+  local property errors states seconds seen
+  for property in $5; do
+    read -r errors states seconds < <(run_pan "$4" "$property") || errors=
+    case $errors in
+      '') seen='not checked' ;;
+      0) seen=holds ;;
+      *) seen=fails ;;
+    esac
+    printf '%-12s %-16s %9s states %6s s  %s\n' "$4" "$property" "${states:-?}" "${seconds:-?}" \
+      "$seen$([[ $seen == "$1" ]] && echo ', as it must' || echo ": IT MUST NOT")"
+    [[ $seen == "$1" ]] || failed=1
   done
 }
-# model file, defines, label, property that must fail
-find_it() {
-  make_pan "$3" "$1" "$2" || return 1
-  local errors states seconds
-  read -r errors states seconds < <(run_pan "$3" "$4") || errors=0
-  printf '%-12s %-16s %9s states %6s s  %s\n' "$3" "$4" "${states:-?}" "${seconds:-?}" \
-    "$([[ $errors != 0 ]] && echo 'found, as it must be' || echo 'NOT FOUND')"
-  [[ $errors != 0 ]] || failed=1
-}
 
 all="one_answer answered ends one_at_once no_effect_twice"
-hold request.pml "-DEFFECT=0" safe "$all"
-hold request.pml "-DEFFECT=1" keyed "$all"
-hold request.pml "-DEFFECT=2" unsafe "$all"
-find_it request.pml "-DEFFECT=2 -DMUTATION=1" mutation-r1 no_effect_twice
-find_it request.pml "-DEFFECT=0 -DMUTATION=2" mutation-r2 one_at_once
-find_it request.pml "-DEFFECT=2 -DMUTATION=3" mutation-r3 one_answer
-find_it request.pml "-DEFFECT=1 -DMUTATION=4" mutation-r4 no_effect_twice
-find_it request.pml "-DEFFECT=0 -DMUTATION=5" mutation-r5 answered
-find_it request.pml "-DEFFECT=2 -DMUTATION=6" mutation-r6 no_effect_twice
-find_it request.pml "-DEFFECT=2 -DMUTATION=7" mutation-r7 no_effect_twice
-find_it request.pml "-DEFFECT=1 -DMUTATION=8" mutation-r8 no_effect_twice
-hold list.pml "" list "never_back no_divergence drains_kept kept_up"
-find_it list.pml "-DMUTATION=1" mutation-l1 no_divergence
-find_it list.pml "-DMUTATION=2" mutation-l2 kept_up
-find_it list.pml "-DMUTATION=3" mutation-l3 drains_kept
-find_it list.pml "-DMUTATION=4" mutation-l4 never_back
-find_it list.pml "-DMUTATION=5" mutation-l5 kept_up
-find_it list.pml "-DMUTATION=6" mutation-l6 no_divergence
+must holds request.pml "-DEFFECT=0" safe "$all"
+must holds request.pml "-DEFFECT=1" keyed "$all"
+must holds request.pml "-DEFFECT=2" unsafe "$all"
+must fails request.pml "-DEFFECT=2 -DMUTATION=1" mutation-r1 no_effect_twice
+must fails request.pml "-DEFFECT=0 -DMUTATION=2" mutation-r2 one_at_once
+must fails request.pml "-DEFFECT=2 -DMUTATION=3" mutation-r3 one_answer
+must fails request.pml "-DEFFECT=1 -DMUTATION=4" mutation-r4 no_effect_twice
+must fails request.pml "-DEFFECT=0 -DMUTATION=5" mutation-r5 answered
+must fails request.pml "-DEFFECT=2 -DMUTATION=6" mutation-r6 no_effect_twice
+must fails request.pml "-DEFFECT=2 -DMUTATION=7" mutation-r7 no_effect_twice
+must fails request.pml "-DEFFECT=1 -DMUTATION=8" mutation-r8 no_effect_twice
+must holds list.pml "" list "never_back no_divergence drains_kept kept_up"
+must fails list.pml "-DMUTATION=1" mutation-l1 no_divergence
+must fails list.pml "-DMUTATION=2" mutation-l2 kept_up
+must fails list.pml "-DMUTATION=3" mutation-l3 drains_kept
+must fails list.pml "-DMUTATION=4" mutation-l4 never_back
+must fails list.pml "-DMUTATION=5" mutation-l5 kept_up
+must fails list.pml "-DMUTATION=6" mutation-l6 no_divergence
 exit $failed
--- a/src/charts/gnuplot.cpp
+++ b/src/charts/gnuplot.cpp
@@ -70,24 +70,29 @@
   return false;
 }
 
+// The picture at `path`, which stays there.
+std::optional<std::string> SvgAt(const Chart& chart, const std::string& path, std::string* why) {
+  if (!Run(Script(chart, Format::kSvg), path, why)) return std::nullopt;
+  const std::string text = Read(path);
+  const auto begin = text.find("<svg");
+  if (begin == std::string::npos) return *why = "gnuplot drew nothing", std::nullopt;
+  return text.substr(begin);
+}
+
 }  // namespace
 
-bool Draw(const Chart& chart, const std::string& folder, const std::string& name, std::string* why) {
-  const std::string path = folder + "/" + name;
-  return Run(Script(chart, Format::kSvg), path + ".svg", why) &&
-         Run(Script(chart, Format::kPng), path + ".png", why);
+std::optional<std::string> Draw(const Chart& chart, const std::string& folder, const std::string& name,
+                                std::string* why) {
+  auto svg = SvgAt(chart, folder + "/" + name + ".svg", why);
+  if (svg && !Run(Script(chart, Format::kPng), folder + "/" + name + ".png", why)) svg.reset();
+  return svg;
 }
 
 std::optional<std::string> Svg(const Chart& chart, std::string* why) {
   const Folder folder;
   if (folder.path().empty())
     return *why = std::string("no temporary folder: ") + std::strerror(errno), std::nullopt;
-  const std::string path = folder.path() + "/chart.svg";
-  if (!Run(Script(chart, Format::kSvg), path, why)) return std::nullopt;
-  const std::string text = Read(path);
-  const auto begin = text.find("<svg");
-  if (begin == std::string::npos) return *why = "gnuplot drew nothing", std::nullopt;
-  return text.substr(begin);
+  return SvgAt(chart, folder.path() + "/chart.svg", why);
 }
 
 }  // namespace kestrelline::charts
--- a/src/charts/gnuplot.h
+++ b/src/charts/gnuplot.h
@@ -12,10 +12,12 @@
 
 namespace kestrelline::charts {
 
-// Writes NAME.svg and NAME.png into `folder`. False if gnuplot is not there or failed: why is in `why`.
-bool Draw(const Chart& chart, const std::string& folder, const std::string& name, std::string* why);
+// Writes NAME.svg and NAME.png into `folder`, and gives the SVG as Svg does. Nothing if gnuplot is not there
+// or failed: why is in `why`.
+std::optional<std::string> Draw(const Chart& chart, const std::string& folder, const std::string& name,
+                                std::string* why);
 
-// The SVG alone, to be put into a page: without the XML declaration. Nothing as above.
+// To be put into a page: without the XML declaration. Nothing as above.
 std::optional<std::string> Svg(const Chart& chart, std::string* why);
 
 }  // namespace kestrelline::charts
--- a/src/lab/analysis.cpp
+++ b/src/lab/analysis.cpp
@@ -6,7 +6,6 @@
 #include <cstdarg>
 #include <cstdio>
 #include <map>
-#include <set>
 
 namespace kestrelline::lab {
 namespace {
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -190,30 +190,21 @@
   const auto parsed = Parsed("v = " + value, why);
   if (!parsed) return *why = "the level " + value + " is no value: " + *why, false;
   const toml::node& level = *parsed->get("v");
-  const auto point = path.rfind('.');
-  const bool indexed = !path.empty() && path.back() == ']';
-  toml::node_view<toml::node> at = document->at_path(path);
-  if (at) {
-    // A list that is written as tables is put in whole; all else takes the place of what was there.
-    const auto holder_path = indexed                      ? path.substr(0, path.rfind('['))
-                             : point == std::string::npos ? ""
-                                                          : path.substr(0, point);
-    if (indexed) {
-      auto* holder = document->at_path(holder_path).as_array();
-      const auto index = static_cast<std::size_t>(std::atoll(path.c_str() + path.rfind('[') + 1));
-      if (!holder || index >= holder->size()) return *why = path + " is not there", false;
-      holder->replace(holder->cbegin() + static_cast<std::ptrdiff_t>(index), level);
-      return true;
-    }
-    toml::table* holder = holder_path.empty() ? document : document->at_path(holder_path).as_table();
-    holder->insert_or_assign(path.substr(point == std::string::npos ? 0 : point + 1), level);
+  const auto nowhere = [&] { return *why = "there is no " + path + " in it", false; };
+  if (!path.empty() && path.back() == ']') {
+    const auto open = path.rfind('[');
+    auto* holder = document->at_path(path.substr(0, open)).as_array();
+    const auto index = static_cast<std::size_t>(std::atoll(path.c_str() + open + 1));
+    if (!holder || index >= holder->size()) return nowhere();
+    holder->replace(holder->cbegin() + static_cast<std::ptrdiff_t>(index), level);
     return true;
   }
-  // A key that is left out there: its holder must be there at least.
-  toml::table* holder =
-      point == std::string::npos ? document : document->at_path(path.substr(0, point)).as_table();
-  if (indexed || !holder) return *why = "there is no " + path + " in it", false;
-  holder->insert_or_assign(path.substr(point == std::string::npos ? 0 : point + 1), level);
+  // What holds it must be there; the key itself may be left out in the file.
+  const auto point = path.rfind('.');
+  const bool nested = point != std::string::npos;
+  toml::table* holder = nested ? document->at_path(path.substr(0, point)).as_table() : document;
+  if (!holder) return nowhere();
+  holder->insert_or_assign(nested ? path.substr(point + 1) : path, level);
   return true;
 }
 
@@ -385,11 +376,9 @@
   if (!read_site || !read_plan) return *why = Lines(diagnostics), std::nullopt;
   scenario.site = std::move(*read_site);
   scenario.plan = std::move(*read_plan);
-  for (const auto& c : scenario.plan.classes) {
-    if (std::none_of(scenario.site.classes.begin(), scenario.site.classes.end(),
-                     [&](const auto& s) { return s.name == c.name; }))
-      return *why = "the plan's class '" + c.name + "' is none of the site", std::nullopt;
-  }
+  std::string missing;
+  if (!load::IndicesOf(load::ClassNames(scenario.plan), scenario.site.classes, &missing))
+    return *why = "the plan's class '" + missing + "' is none of the site", std::nullopt;
   if (!config.empty()) scenario.config = std::move(config);
   if (!sim::ConfigIsValid(scenario, why)) return std::nullopt;
   return scenario;
--- a/src/lab/record.cpp
+++ b/src/lab/record.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "lab/record.h"
 
-#include <cmath>
+#include <algorithm>
 
 namespace kestrelline::lab {
 namespace {
@@ -49,8 +49,7 @@
                          static_cast<double>(asked));
     record.p99_by_second.push_back(Ms(second.latencies.Quantile(0.99)));
   }
-  for (int nines = 0; nines <= kCurveSteps; ++nines)
-    record.latency_by_nines.push_back(Ms(served.Quantile(1 - std::pow(10, -nines / 10.0))));
+  for (const load::Microseconds us : load::ByNines(served)) record.latency_by_nines.push_back(Ms(us));
   return record;
 }
 
--- a/src/lab/record.h
+++ b/src/lab/record.h
@@ -15,8 +15,6 @@
 
 namespace kestrelline::lab {
 
-inline constexpr int kCurveSteps = 40;  // p0 to p99.99, evenly in nines
-
 struct Record {
   std::size_t variant = 0;
   std::uint64_t day = 0;
@@ -26,7 +24,7 @@
   double wall_s = 0;                     // of the machine it was played on
   std::vector<double> served_by_second;  // shares; below 0: nothing was asked
   std::vector<double> p99_by_second;     // ms
-  std::vector<double> latency_by_nines;  // ms, of the served, kCurveSteps + 1 of them
+  std::vector<double> latency_by_nines;  // ms, of the served: load::ByNines
 };
 
 Record RecordOf(std::size_t variant, std::uint64_t day, const sim::Report& report, double wall_s);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -4,38 +4,18 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
+
+#include "charts/page.h"
 
 namespace kestrelline::lab {
 namespace {
 
 using charts::Chart;
-using charts::Point;
 using charts::Series;
 
 constexpr std::size_t kMostLines = 6;   // variants in one chart
 constexpr std::size_t kMostHeats = 10;  // pairs of factors
 
-std::string Escaped(const std::string& text) {
-  std::string out;
-  for (const char c : text) {
-    switch (c) {
-      case '<':
-        out += "&lt;";
-        break;
-      case '>':
-        out += "&gt;";
-        break;
-      case '&':
-        out += "&amp;";
-        break;
-      default:
-        out += c;
-    }
-  }
-  return out;
-}
-
 // The base, the best, and those that differ the most from the base.
 std::vector<std::size_t> Shown(const Analysis& analysis) {
   std::vector<const VariantRow*> rows;
@@ -86,12 +66,6 @@
 
 }  // namespace
 
-charts::Span SpanOf(const standin::Fault& fault) {
-  const auto seconds = [](load::Microseconds us) { return static_cast<double>(us.count()) / 1e6; };
-  return {seconds(fault.at), seconds(fault.at + fault.lasts),
-          std::string(standin::KindOf(fault.kind).name) + (fault.who.empty() ? "" : " " + fault.who)};
-}
-
 std::vector<std::pair<std::string, Chart>> Charts(const Experiment& experiment,
                                                   const std::vector<Record>& records,
                                                   const Analysis& analysis,
@@ -127,15 +101,10 @@
   Chart latency, service, tail;
   latency.title = "Latency of what was served", latency.x_label = "percentile", latency.y_label = "ms";
   latency.log_y = true;
-  for (int nines = 0; nines <= kCurveSteps; nines += 10)
-    latency.x_names.emplace_back(nines / 10.0, nines == 0 ? "p0"
-                                                          : "p" + std::string(nines == 10   ? "90"
-                                                                              : nines == 20 ? "99"
-                                                                              : nines == 30 ? "99.9"
-                                                                                            : "99.99"));
+  latency.x_names = load::NamesOfNines();
   service.title = "Served, by second", service.x_label = "s", service.y_label = "share";
   tail.title = "99th percentile, by second", tail.x_label = "s", tail.y_label = "ms", tail.log_y = true;
-  for (const standin::Fault& fault : faults) service.spans.push_back(SpanOf(fault));
+  for (const standin::Fault& fault : faults) service.spans.push_back(standin::SpanOf(fault));
   tail.spans = service.spans;
   for (const std::size_t variant : shown) {
     const std::string name = experiment.NameOf(variants[variant]) + (variant == 0 ? " (base)" : "");
@@ -187,13 +156,11 @@
 
 std::string Page(const Experiment& experiment, const Analysis& analysis, const std::string& experiment_text,
                  const std::vector<std::pair<std::string, std::string>>& drawn) {
-  std::string page =
-      "<!doctype html><html lang='en'><meta charset='utf-8'><title>" + Escaped(experiment.name) +
-      "</title><style>body{font:15px sans-serif;max-width:960px;margin:2em auto;padding:0 1em}"
-      "svg{max-width:100%;height:auto}pre{overflow:auto;font-size:12px}</style><h1>" +
-      Escaped(experiment.name) + "</h1><pre>" + Escaped(Table(experiment, analysis)) + "</pre>";
+  std::string page = charts::PageHead(experiment.name) + "<pre style='font-size:12px'>" +
+                     charts::Escaped(Table(experiment, analysis)) + "</pre>";
   for (const auto& [name, svg] : drawn) page += "<figure id='" + name + "'>" + svg + "</figure>";
-  return page + "<h2>The experiment</h2><pre>" + Escaped(experiment_text) + "</pre></html>\n";
+  return page + "<h2>The experiment</h2><pre style='font-size:12px'>" + charts::Escaped(experiment_text) +
+         "</pre></html>\n";
 }
 
 }  // namespace kestrelline::lab
--- a/src/lab/report.h
+++ b/src/lab/report.h
@@ -23,9 +23,6 @@
 std::string Page(const Experiment& experiment, const Analysis& analysis, const std::string& experiment_text,
                  const std::vector<std::pair<std::string, std::string>>& drawn);
 
-// A fault as a span of seconds, for charts.
-charts::Span SpanOf(const standin::Fault& fault);
-
 }  // namespace kestrelline::lab
 
 #endif  // KESTRELLINE_LAB_REPORT_H_
--- a/src/load/arrivals.h
+++ b/src/load/arrivals.h
@@ -17,6 +17,8 @@
 #include <variant>
 #include <vector>
 
+#include "hashing/mix.h"
+
 namespace kestrelline::load {
 
 using Microseconds = std::chrono::microseconds;
@@ -94,7 +96,7 @@
   std::optional<Arrival> Next();
 
  private:
-  double Unit(std::mt19937_64& from) { return static_cast<double>(from() >> 11) * 0x1.0p-53; }
+  double Unit(std::mt19937_64& from) { return hashing::Unit(from()); }
   double Integral(double t) const;
   double TimeOf(double arrived, double not_before) const;
 
--- a/src/load/latency.h
+++ b/src/load/latency.h
@@ -59,8 +59,8 @@
 // One request of an open loop, times from the start of the run.
 struct Timing {
   Microseconds intended{0}, sent{0}, answered{0};
-  Microseconds ready{
-      -1};  // when the generator got to it, and looked for a connection; below 0: when it was sent
+  // When the generator got to it, and looked for a connection; below 0: when it was sent.
+  Microseconds ready{-1};
 };
 
 }  // namespace kestrelline::load
--- a/src/load/plan.cpp
+++ b/src/load/plan.cpp
@@ -167,6 +167,12 @@
   return effect.value_or(Effect::kUnsafe);
 }
 
+std::vector<std::string> ClassNames(const Plan& plan) {
+  std::vector<std::string> names;
+  for (const PlanClass& c : plan.classes) names.push_back(c.name);
+  return names;
+}
+
 std::optional<Plan> ReadPlan(std::string_view text, Diagnostics* diagnostics) {
   Plan plan;
   const std::vector<Section> sections{
--- a/src/load/plan.h
+++ b/src/load/plan.h
@@ -5,6 +5,7 @@
 #ifndef KESTRELLINE_LOAD_PLAN_H_
 #define KESTRELLINE_LOAD_PLAN_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -41,6 +42,22 @@
 Effect ReadEffect(const operator_file::TableReader& reader, operator_file::Diagnostics* diagnostics);
 Microseconds InMicroseconds(operator_file::Milliseconds ms);
 
+// Where each of `names` stands among `classes`, a list of what has a name. Nothing, and the first that does
+// not in `missing`, unless all do.
+template <typename Classes>
+std::optional<std::vector<std::uint32_t>> IndicesOf(const std::vector<std::string>& names,
+                                                    const Classes& classes, std::string* missing) {
+  std::vector<std::uint32_t> indices;
+  for (const std::string& name : names) {
+    const auto found =
+        std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == name; });
+    if (found == classes.end()) return *missing = name, std::nullopt;
+    indices.push_back(static_cast<std::uint32_t>(found - classes.begin()));
+  }
+  return indices;
+}
+std::vector<std::string> ClassNames(const Plan& plan);
+
 // Nothing, and why in `diagnostics`, unless all of it is right.
 std::optional<Plan> ReadPlan(std::string_view text, operator_file::Diagnostics* diagnostics);
 
--- a/src/load/results.cpp
+++ b/src/load/results.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "charts/page.h"
+
 namespace kestrelline::load {
 namespace {
 
@@ -59,29 +61,6 @@
   return row + text;
 }
 
-std::string Escaped(const std::string& text) {
-  std::string out;
-  for (const char c : text) {
-    switch (c) {
-      case '<':
-        out += "&lt;";
-        break;
-      case '>':
-        out += "&gt;";
-        break;
-      case '&':
-        out += "&amp;";
-        break;
-      case '"':
-        out += "&quot;";
-        break;
-      default:
-        out += c;
-    }
-  }
-  return out;
-}
-
 double InMs(Microseconds us) { return std::max(0.01, static_cast<double>(us.count()) / 1000); }
 
 struct Estimate {
@@ -277,27 +256,38 @@
   percentiles.title = "Served, by percentile", percentiles.x_label = "percentile", percentiles.y_label = "ms";
   percentiles.log_y = true;
   percentiles.series = {{"from the intended time", {}}, {"from the send", {}}};
-  const Latencies open = Served(true), closed = Served(false);
-  for (int tenths = 0; tenths <= 40; ++tenths) {  // p0 to p99.99, evenly in nines
-    const double nines = tenths / 10.0, q = 1 - std::pow(10, -nines);
-    percentiles.series[0].points.push_back({nines, InMs(open.Quantile(q)), 0, 0});
-    percentiles.series[1].points.push_back({nines, InMs(closed.Quantile(q)), 0, 0});
-    if (tenths % 10 == 0)
-      percentiles.x_names.emplace_back(nines, tenths == 0 ? "p0" : "p" + Format("%.4g", 100 * q));
+  percentiles.x_names = NamesOfNines();
+  for (const bool open_loop : {true, false}) {
+    double nines = 0;
+    for (const Microseconds us : ByNines(Served(open_loop))) {
+      percentiles.series[open_loop ? 0 : 1].points.push_back({nines / 10, InMs(us), 0, 0});
+      ++nines;
+    }
   }
   return {by_second, percentiles, outcomes};
 }
 
 std::string Results::Html(const std::string& title, const std::vector<std::string>& drawn,
                           const std::string& rules) const {
-  std::string page =
-      "<!doctype html><html lang='en'><meta charset='utf-8'><title>" + Escaped(title) +
-      "</title><style>body{font:15px sans-serif;max-width:960px;margin:2em auto;padding:0 1em}"
-      "svg{max-width:100%;height:auto}pre{overflow:auto;white-space:pre-wrap}</style><h1>" +
-      Escaped(title) + "</h1>" +
-      (rules.empty() ? std::string() : "<h2>The four rules</h2><pre>" + Escaped(rules) + "</pre>");
+  std::string page = charts::PageHead(title);
+  if (!rules.empty())
+    page += "<h2>The four rules</h2><pre style='white-space:pre-wrap'>" + charts::Escaped(rules) + "</pre>";
   for (const auto& svg : drawn) page += "<figure>" + svg + "</figure>";
-  return page + "<h2>Table</h2><pre style='white-space:pre'>" + Escaped(Table()) + "</pre></html>\n";
+  return page + "<h2>Table</h2><pre>" + charts::Escaped(Table()) + "</pre></html>\n";
+}
+
+std::vector<Microseconds> ByNines(const Latencies& latencies) {
+  std::vector<Microseconds> all;
+  for (int tenths = 0; tenths <= kStepsOfNines; ++tenths)
+    all.push_back(latencies.Quantile(1 - std::pow(10, -tenths / 10.0)));
+  return all;
+}
+
+std::vector<std::pair<double, std::string>> NamesOfNines() {
+  std::vector<std::pair<double, std::string>> names;
+  for (int nines = 0; nines <= kStepsOfNines / 10; ++nines)
+    names.emplace_back(nines, "p" + Format("%.4g", 100 * (1 - std::pow(10, -nines))));
+  return names;
 }
 
 std::string Compare(const Results& a, const Results& b) {
--- a/src/load/results.h
+++ b/src/load/results.h
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "charts/chart.h"
@@ -79,6 +80,11 @@
   Latencies lateness_, waited_;
 };
 
+// p0 to p99.99, evenly in nines: the quantile at each tenth of a nine, and the names of whole ones.
+inline constexpr int kStepsOfNines = 40;
+std::vector<Microseconds> ByNines(const Latencies& latencies);
+std::vector<std::pair<double, std::string>> NamesOfNines();
+
 // Ratios of two runs, b to a, second by second, each with its standard error; "noise" where one error
 // reaches 1.
 std::string Compare(const Results& a, const Results& b);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -320,7 +320,7 @@
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   const ClassSettings& c = config_.settings.classes[pending.request_class];
-  const Duration hold = last_byte_.WaitFor(clock_.Now(), c.effect, c.aim);
+  const Duration hold = last_byte_.WaitFor(clock_.At(now), c.effect, c.aim);
   backends_->Send(action.server, pending.message, timeout, hold,
                   [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
                     OnAttemptDone(id, attempt, server, now, std::move(result));
@@ -334,8 +334,9 @@
   end.attempt = attempt;
   end.server = server;
   end.outcome = result.outcome;
-  end.took = Steady::now() - sent;
-  if (result.written.count() > 0) last_byte_.OnEnded(clock_.Now(), result.written, result.broke);
+  const auto now = Steady::now();
+  end.took = now - sent;
+  if (result.written.count() > 0) last_byte_.OnEnded(clock_.At(now), result.written, result.broke);
   const auto found = pending_.find(request);
   if (found != pending_.end()) --found->second.attempts_out;
   const bool other_out = found != pending_.end() && found->second.attempts_out > 0;
--- a/src/sim/hosts.h
+++ b/src/sim/hosts.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "brackenspoke/balancer.h"
+#include "hashing/mix.h"
 #include "load/events.h"
 #include "sim/kernel.h"
 #include "sim/scenario.h"
@@ -90,7 +91,7 @@
 
   void Arrive(const AttemptPtr& attempt);
   void ArriveWhole(const AttemptPtr& attempt);
-  bool Chance(double share) { return share > 0 && static_cast<double>(draw_() >> 11) * 0x1.0p-53 < share; }
+  bool Chance(double share) { return share > 0 && hashing::Unit(draw_()) < share; }
   void Work(const AttemptPtr& attempt, Host& host);
   void Reply(const AttemptPtr& attempt, brackenspoke::Outcome outcome, Microseconds pause);
   void ResetAll(Host& host);
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -43,10 +43,12 @@
   return settings;
 }
 
-std::vector<std::string> NamesOf(const Scenario& scenario) {
-  std::vector<std::string> names;
-  for (const auto& c : scenario.plan.classes) names.push_back(c.name);
-  return names;
+// Where the plan's classes stand in the site: whoever makes a Scenario has seen that all of them do.
+std::vector<std::uint32_t> SiteClasses(const Scenario& scenario) {
+  std::string missing;
+  auto classes = load::IndicesOf(load::ClassNames(scenario.plan), scenario.site.classes, &missing);
+  if (!classes) throw std::invalid_argument("the plan's class '" + missing + "' is none of the site");
+  return std::move(*classes);
 }
 
 }  // namespace
@@ -80,8 +82,9 @@
               },
               [this](std::uint32_t node, std::uint32_t host) { return Delay(node, host); },
               [this](const Event& event) { Tell(event); }}),
+      site_class_(SiteClasses(scenario)),
       arrivals_(scenario.plan.mixture, scenario.plan.seed),
-      report_(NamesOf(scenario)) {
+      report_(load::ClassNames(scenario.plan)) {
   const auto& site = scenario_.site;
   for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
     const auto& spec = site.converters[h];
@@ -177,16 +180,6 @@
   return state;
 }
 
-bool Simulation::State::operator==(const State& other) const {
-  const auto proxy = [](const Proxy& p) { return std::tuple(p.up, p.paused, p.revision, p.held); };
-  const auto server = [](const Server& s) { return std::tuple(s.id, s.up, s.attempts, s.running, s.queued); };
-  return history == other.history &&
-         std::equal(proxies.begin(), proxies.end(), other.proxies.begin(), other.proxies.end(),
-                    [&](const auto& a, const auto& b) { return proxy(a) == proxy(b); }) &&
-         std::equal(servers.begin(), servers.end(), other.servers.begin(), other.servers.end(),
-                    [&](const auto& a, const auto& b) { return server(a) == server(b); });
-}
-
 Microseconds Simulation::Jitter() {
   const auto most = static_cast<std::uint64_t>(scenario_.network.jitter.count());
   return Microseconds(static_cast<std::int64_t>(draw_() % (most + 1)));
@@ -241,10 +234,7 @@
     auto call = std::make_unique<Call>();
     call->arrival = arrival;
     const auto& c = scenario_.plan.classes[arrival.request_class];
-    const auto& classes = scenario_.site.classes;
-    const auto found =
-        std::find_if(classes.begin(), classes.end(), [&](const auto& s) { return s.name == c.name; });
-    call->request_class = static_cast<std::uint32_t>(found - classes.begin());
+    call->request_class = site_class_[arrival.request_class];
     call->due = kernel_.now() + c.deadline;
     calls_.emplace(number, std::move(call));
     Try(number, 0);
--- a/src/sim/simulation.h
+++ b/src/sim/simulation.h
@@ -63,17 +63,19 @@
       bool up = false, paused = false;
       std::uint64_t revision = 0;  // of its list
       std::size_t held = 0;        // requests without an answer, or with an attempt out
+      bool operator==(const Proxy&) const = default;
     };
     struct Server {
       std::string id;
       bool up = false;
       std::size_t attempts = 0;
       int running = 0, queued = 0;
+      bool operator==(const Server&) const = default;
     };
     std::vector<Proxy> proxies;
     std::vector<Server> servers;
     std::uint64_t history = 0;
-    bool operator==(const State&) const;
+    bool operator==(const State&) const = default;
   };
 
   // `scenario` must outlive it.
@@ -138,7 +140,8 @@
   Directory directory_;
   std::vector<std::uint32_t> entry_of_;  // by host: of the directory
   std::vector<Proxy> proxies_;
-  std::vector<int> zones_;  // by host
+  std::vector<int> zones_;                 // by host
+  std::vector<std::uint32_t> site_class_;  // by the plan's
   load::Arrivals arrivals_;
   std::size_t next_of_trace_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Call>> calls_;
--- a/src/standin/converter.h
+++ b/src/standin/converter.h
@@ -20,6 +20,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "hashing/mix.h"
 #include "load/events.h"
 #include "standin/address.h"
 #include "standin/converter_model.h"
@@ -84,7 +85,7 @@
   void Shut();
   void Accept(std::size_t door);
   bool Hold(std::function<void()> then);
-  bool Chance(double share) { return share > 0 && static_cast<double>(draw_() >> 11) * 0x1.0p-53 < share; }
+  bool Chance(double share) { return share > 0 && hashing::Unit(draw_()) < share; }
   void ResetAll();
   void ArmTimer();
   void Sweep();
--- a/src/standin/faults.cpp
+++ b/src/standin/faults.cpp
@@ -46,6 +46,12 @@
   return found == FaultKinds().end() ? nullptr : &*found;
 }
 
+charts::Span SpanOf(const Fault& fault) {
+  const auto seconds = [](Microseconds us) { return static_cast<double>(us.count()) / 1e6; };
+  return {seconds(fault.at), seconds(fault.at + fault.lasts),
+          std::string(KindOf(fault.kind).name) + (fault.who.empty() ? "" : " " + fault.who)};
+}
+
 std::optional<Fault> ParseCommand(std::string_view line, std::string* why) {
   std::istringstream words{std::string(line)};
   std::string name, who, lasts, amount, more;
--- a/src/standin/faults.h
+++ b/src/standin/faults.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "charts/chart.h"
 #include "load/ledger.h"
 
 namespace kestrelline::standin {
@@ -61,6 +62,9 @@
 const FaultKind& KindOf(Fault::Kind kind);
 const FaultKind* FindKind(std::string_view name);
 
+// In seconds, for the time axis of charts.
+charts::Span SpanOf(const Fault& fault);
+
 // "slow s-03 10s 3", "late_list 2s": KIND [WHO] FOR [AMOUNT]. Nothing, and why, if it is not right.
 std::optional<Fault> ParseCommand(std::string_view line, std::string* why);
 
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -273,7 +273,7 @@
   std::uint64_t hash = seed;
   for (const char ch : id) hash = Mixed(hash ^ static_cast<unsigned char>(ch));
   const double u = (static_cast<double>(Mixed(hash) >> 11) + 0.5) * 0x1.0p-53;
-  const double v = static_cast<double>(Mixed(hash + 1) >> 11) * 0x1.0p-53;
+  const double v = hashing::Unit(Mixed(hash + 1));
   const double normal = std::sqrt(-2 * std::log(u)) * std::cos(2 * std::numbers::pi * v);
   return c.work_s * std::exp(c.spread * normal - c.spread * c.spread / 2);
 }
--- a/tests/charts/chart_test.cpp
+++ b/tests/charts/chart_test.cpp
@@ -8,7 +8,6 @@
 
 #include <cmath>
 #include <filesystem>
-#include <limits>
 
 #include "charts/gnuplot.h"
 #include "support/temporary.h"
--- a/tests/lab/runner_test.cpp
+++ b/tests/lab/runner_test.cpp
@@ -7,7 +7,6 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
-#include <mutex>
 #include <set>
 #include <sstream>
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -642,7 +642,6 @@
 TEST(Proxy, AHeldRequestComesWholeAndIsAnsweredOnce) {
   for (const std::string body : {"", "deed"}) {
     std::string first;
-    Backend backend;
     const auto serve = [&](Tcp::socket& socket) {
       first = ReadSome(socket);
       std::string rest;
--- a/tools/kestrellab/main.cpp
+++ b/tools/kestrellab/main.cpp
@@ -142,8 +142,7 @@
   for (const auto& [name, chart] :
        lab::Charts(loaded->experiment, records, analysis, loaded->scenarios[0].site.faults)) {
     std::string why;
-    const auto svg =
-        charts::Draw(chart, arguments.folder, name, &why) ? charts::Svg(chart, &why) : std::nullopt;
+    const auto svg = charts::Draw(chart, arguments.folder, name, &why);
     if (!svg) std::fprintf(stderr, "kestrellab: %s: %s\n", name.c_str(), why.c_str());
     all &= svg.has_value();
     drawn.emplace_back(name, svg.value_or("<p>not drawn</p>"));
--- a/tools/kestrelload/main.cpp
+++ b/tools/kestrelload/main.cpp
@@ -107,11 +107,7 @@
         arguments.faults, kestrelline::operator_file::kMostFileBytes, &diagnostics);
     const auto site = text ? kestrelline::standin::ReadSite(*text, &diagnostics) : std::nullopt;
     if (!site) throw Unusable(diagnostics.Lines().front());
-    for (const auto& fault : site->faults) {
-      const auto seconds = [](Microseconds us) { return static_cast<double>(us.count()) / 1e6; };
-      spans.push_back({seconds(fault.at), seconds(fault.at + fault.lasts),
-                       std::string(kestrelline::standin::KindOf(fault.kind).name) + " " + fault.who});
-    }
+    for (const auto& fault : site->faults) spans.push_back(kestrelline::standin::SpanOf(fault));
   }
   std::vector<std::string> drawn;
   for (const auto& chart : results.Charts(spans)) {
@@ -176,7 +172,7 @@
       : path_(path), file_(path, std::ios::binary | std::ios::trunc) {
     if (!file_) throw Unusable(path + ": cannot be written");
     TraceHead head;
-    for (const auto& c : plan.classes) head.classes.push_back(c.name);
+    head.classes = ClassNames(plan);
     head.tenants = plan.tenants;
     writer_ = std::make_unique<TraceWriter>(file_, head);
   }
@@ -213,9 +209,7 @@
 
 int Play(const Plan& plan, Engine::Source source, const Arguments& arguments) {
   asio::io_context io(1);
-  std::vector<std::string> names;
-  for (const auto& c : plan.classes) names.push_back(c.name);
-  Results results(names);
+  Results results(ClassNames(plan));
   std::unique_ptr<Recorder> recorder;
   if (!arguments.record.empty()) {
     recorder = std::make_unique<Recorder>(arguments.record, plan);
@@ -274,14 +268,9 @@
   if (!file) throw Unusable(arguments.trace + ": cannot be read");
   TraceReader reader(file);
   // The trace numbers classes in its own order: what it names, the plan must know.
-  std::vector<std::uint32_t> classes;
-  for (const std::string& name : reader.head().classes) {
-    const auto found = std::find_if(plan.classes.begin(), plan.classes.end(),
-                                    [&](const PlanClass& c) { return c.name == name; });
-    if (found == plan.classes.end())
-      throw Unusable(arguments.plan + ": has no class '" + name + "' of the trace");
-    classes.push_back(static_cast<std::uint32_t>(found - plan.classes.begin()));
-  }
+  std::string missing;
+  const auto classes = IndicesOf(reader.head().classes, plan.classes, &missing);
+  if (!classes) throw Unusable(arguments.plan + ": has no class '" + missing + "' of the trace");
   plan.tenants = reader.head().tenants;
   if (!(arguments.speed > 0)) throw Unusable("--speed must be over 0");
   Replay replay;
@@ -295,7 +284,7 @@
           const auto due = replay.DueAt(record->arrival.at);
           if (!due) continue;
           record->arrival.at = *due;
-          record->arrival.request_class = classes[record->arrival.request_class];
+          record->arrival.request_class = (*classes)[record->arrival.request_class];
           return record->arrival;
         }
         return std::nullopt;
--- a/tools/kestrelsim/main.cpp
+++ b/tools/kestrelsim/main.cpp
@@ -16,7 +16,6 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
-#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
@@ -72,17 +71,13 @@
   if (!file) return refuse("cannot be read");
   try {
     load::TraceReader reader(file);
-    std::vector<std::uint32_t> classes;
-    for (const auto& name : reader.head().classes) {
-      const auto found = std::find_if(plan.classes.begin(), plan.classes.end(),
-                                      [&](const auto& c) { return c.name == name; });
-      if (found == plan.classes.end()) return refuse("its class '" + name + "' is none of the plan");
-      classes.push_back(static_cast<std::uint32_t>(found - plan.classes.begin()));
-    }
+    std::string missing;
+    const auto classes = load::IndicesOf(reader.head().classes, plan.classes, &missing);
+    if (!classes) return refuse("its class '" + missing + "' is none of the plan");
     auto trace = std::make_shared<std::vector<load::Arrival>>();
     while (auto record = reader.Next()) {
       if (trace->size() == kMostOfTrace) return refuse("more than 20 million requests");
-      record->arrival.request_class = classes[record->arrival.request_class];
+      record->arrival.request_class = (*classes)[record->arrival.request_class];
       trace->push_back(record->arrival);
     }
     return trace;
@@ -99,11 +94,9 @@
     return load::ReadPlan(text, d);
   });
   if (!site || !plan) return std::nullopt;
-  for (const auto& c : plan->classes) {
-    if (std::any_of(site->classes.begin(), site->classes.end(),
-                    [&](const auto& s) { return s.name == c.name; }))
-      continue;
-    std::fprintf(stderr, "%s: class '%s' is none of %s\n", arguments.plan.c_str(), c.name.c_str(),
+  std::string missing;
+  if (!load::IndicesOf(load::ClassNames(*plan), site->classes, &missing)) {
+    std::fprintf(stderr, "%s: class '%s' is none of %s\n", arguments.plan.c_str(), missing.c_str(),
                  arguments.site.c_str());
     return std::nullopt;
   }
