--- /dev/null
+++ b/tests/peers/datagram_fuzz.cpp
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Whatever stands in a datagram whose seal is right: read, written again, and taken by a member, which keeps
+// its bounds and goes on. A libFuzzer target (-DKESTRELLINE_FUZZ=ON, with clang); the tests replay its
+// corpus.
+//
+// The input: the form, then the body. What follows a body of the length that the second and third byte say is
+// the next datagram's.
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <span>
+
+#include "peers/node.h"
+#include "peers/wire.h"
+
+namespace {
+
+using namespace kestrelline::peers;
+
+constexpr std::size_t kMostAnswers = 16;  // of one datagram: six pages, an answer, and no more than a few
+
+void Require(bool holds, const char* what) {
+  if (holds) return;
+  std::fprintf(stderr, "%s\n", what);
+  std::abort();
+}
+
+Member Other(int i) {
+  return {"n" + std::to_string(i),
+          100u + static_cast<unsigned>(i),
+          0,
+          State::kAlive,
+          {0x7f000001, static_cast<std::uint16_t>(7001 + i)},
+          "z" + std::to_string(i % 2),
+          "1",
+          2};
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  Time now{std::chrono::hours(1)};
+  Node::Options options{.name = "n0", .zone = "z0", .version = "1", .boot = 100, .seed = 1};
+  options.address = Other(0).address;
+  options.seeds = {Other(1).address};
+  Node node(options, now);
+  for (int i = 1; i <= 3; ++i) {
+    Message hello;
+    hello.kind = Message::Kind::kAck;
+    hello.from = Other(i);
+    node.Receive(now, hello);
+  }
+  std::span<const std::uint8_t> rest(data, size);
+  while (rest.size() >= 3) {
+    const auto form = static_cast<std::uint8_t>(rest[0] % 4);
+    const std::size_t length = std::min<std::size_t>(rest[1] | rest[2] << 8, rest.size() - 3);
+    const auto message = wire::Decode(rest.subspan(3, length), form);
+    rest = rest.subspan(3 + length);
+    now += std::chrono::milliseconds(50);
+    node.TakeOutgoing();
+    if (message) {
+      const auto again = wire::Decode(wire::Encode(*message, form), form);
+      Require(again && *again == *message, "what is read and written again is not the same");
+      node.Receive(now, *message);
+    }
+    const auto answers = node.TakeOutgoing();
+    Require(answers.size() <= kMostAnswers, "too many answers to one datagram");
+    node.Tick(now);
+    for (const Outgoing& out : answers)
+      Require(wire::Encode(out.message, out.wire).size() <= wire::kMostBody, "a datagram that is too long");
+    Require(node.view().entries().size() <= kMostMembers, "too many members");
+    Require(node.displaced() || node.self().boot == options.boot, "somebody else's boot");
+    Require(node.NextDue() > now, "a timer that never sleeps");
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/peers/settings_test.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// [peers] in the operator's file: what is accepted, and the line and reason of what is not.
+#include "peers/settings.h"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include "support/temporary.h"
+
+namespace kestrelline::peers {
+namespace {
+
+class PeersSettings : public ::testing::Test {
+ protected:
+  PeersSettings() {
+    for (const auto& [name, mode] : {std::pair{"key", 0600}, {"open", 0644}}) {
+      folder_.Write(name, "1 00112233445566778899aabbccddeeff\n");
+      ::chmod((folder_ / name).c_str(), static_cast<mode_t>(mode));
+    }
+  }
+  std::optional<Settings> Read(const std::string& section, std::optional<bool> allowed = std::nullopt) {
+    operator_file::Diagnostics diagnostics("f.toml");
+    Spec spec;
+    const std::vector<operator_file::Section> sections{PeersSection(&spec)};
+    operator_file::ReadDocument("version = 1\n" + section, sections, &diagnostics);
+    const auto settings = Build(spec, {allowed, "n0", folder_.path()}, &diagnostics);
+    said_.clear();
+    for (const auto& line : diagnostics.Lines()) said_ += line + "\n";
+    return settings;
+  }
+  testing::TemporaryFolder folder_;
+  std::string said_;
+};
+
+const std::string kGood =
+    "[peers]\nlisten = \"127.0.0.1:7001\"\nseeds = [\"127.0.0.1:7002\", \"127.0.0.1:7001\"]\nkey_file = "
+    "\"key\"\n";
+
+TEST_F(PeersSettings, FiveLinesDo) {
+  const auto settings = Read(kGood);
+  ASSERT_TRUE(settings) << said_;
+  EXPECT_EQ(settings->listen.Text(), "127.0.0.1:7001");
+  EXPECT_EQ(settings->advertise, settings->listen);
+  EXPECT_EQ(settings->seeds.size(), 2u);
+  EXPECT_TRUE(Read(kGood, true));
+  EXPECT_FALSE(Read("", false));
+  EXPECT_EQ(said_, "");  // no section, nothing to say
+}
+
+TEST_F(PeersSettings, WhatIsWrongIsSaidWithItsLine) {
+  struct Case {
+    std::string section, says;
+    std::optional<bool> allowed = std::nullopt;
+  };
+  const std::string head = "[peers]\nlisten = \"127.0.0.1:7001\"\nseeds = [\"127.0.0.1:7002\"]\n";
+  for (const auto& [section, says, allowed] : {
+           Case{kGood, "f.toml:2:1: [peers-off]", false},
+           Case{head, "key_file"},
+           Case{head + "key_file = \"none\"\n", "f.toml:5:12: [peers-key] none: No such file"},
+           Case{head + "key_file = \"open\"\n", "f.toml:5:12: [peers-key] open: others than its owner"},
+           Case{"[peers]\nlisten = \"localhost:7001\"\nseeds = [\"a\"]\nkey_file = \"key\"\n",
+                "f.toml:3:10: [peers-address] 'localhost:7001' is no IPv4 address"},
+           Case{"[peers]\nlisten = \"localhost:7001\"\nseeds = [\"a\"]\nkey_file = \"key\"\n",
+                "f.toml:4:10: [peers-address] 'a' is no IPv4 address"},
+           Case{"[peers]\nlisten = \"0.0.0.0:7001\"\nseeds = [\"127.0.0.1:1\"]\nkey_file = \"key\"\n",
+                "f.toml:3:10: [peers-address] others cannot write to 0.0.0.0"},
+           Case{"[peers]\nlisten = \"127.0.0.1:7001\"\nseeds = []\nkey_file = \"key\"\n", "[peers-seeds]"},
+           Case{kGood + "probe_every = \"1ms\"\n", "f.toml:6:15: [range]"},
+           Case{kGood + "probe_every = \"1s\"\n", "f.toml:6:15: [peers-times] with a probe every 1s"},
+           Case{kGood + "detect_within = \"500ms\"\n", "f.toml:6:17: [peers-times]"},
+           Case{kGood + "forget_after = \"10s\"\ndetect_within = \"8s\"\n", "f.toml:6:16: [peers-times]"},
+           Case{kGood + "wire = 3\n", "f.toml:6:8"},
+           Case{kGood + "sedes = 3\n", "did you mean 'seeds'"},
+       }) {
+    EXPECT_FALSE(Read(section, allowed)) << section;
+    EXPECT_NE(said_.find(says), std::string::npos) << section << said_;
+  }
+}
+
+// Slower probes are accepted with a promise that they can keep.
+TEST_F(PeersSettings, TimesKeepTheirProportion) {
+  const auto settings = Read(kGood + "probe_every = \"400ms\"\ndetect_within = \"6s\"\n");
+  ASSERT_TRUE(settings) << said_;
+  EXPECT_EQ(settings->times.period, std::chrono::milliseconds(400));
+  EXPECT_EQ(settings->times.least_suspicion, 2 * Times().least_suspicion);
+  EXPECT_LE(Times().Detection(16), std::chrono::seconds(3));
+}
+
+}  // namespace
+}  // namespace kestrelline::peers
