What the fleet divides: src/concert, one leader by majority leases, grants that end

Need: quotas and budgets were divided by a configured number: with two of five gone two fifths served nobody, with a half more joined the sum passed the whole.

--- /dev/null
+++ b/tests/concert/parts_test.cpp
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The parts of the division by themselves: the pool, the bytes, the section, and what the module does with a
+// share.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "brackenspoke/balancer.h"
+#include "concert/pool.h"
+#include "concert/settings.h"
+#include "concert/voter.h"
+#include "concert/wire.h"
+
+namespace kestrelline::concert {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+const Time kStart{std::chrono::hours(1)};
+
+TEST(ConcertPool, AGrantCountsUntilItsEndOrUntilALaterOneIsTaken) {
+  Pool pool(0.75);
+  const Grant large = pool.Give(kStart, 1, 0.6, seconds(2), 1);
+  EXPECT_DOUBLE_EQ(large.share, 0.6);
+  const Grant small = pool.Give(kStart, 1, 0.1, seconds(1), 2);
+  EXPECT_DOUBLE_EQ(pool.Give(kStart, 2, 0.5, seconds(2), 1).share, 0.15);  // the first may be in use yet
+  pool.OnTaken(1, small.number);
+  EXPECT_DOUBLE_EQ(pool.Give(kStart, 2, 0.5, seconds(2), 2).share, 0.5);
+  pool.OnTaken(1, large.number);       // an old word that comes late
+  pool.OnTaken(1, small.number + 99);  // of a grant that was never made
+  EXPECT_DOUBLE_EQ(pool.Outstanding(kStart, 1), 0.1);
+  EXPECT_DOUBLE_EQ(pool.Outstanding(kStart + milliseconds(1010), 1), 0.1);  // for slow clocks
+  EXPECT_DOUBLE_EQ(pool.Outstanding(kStart + milliseconds(1021), 1), 0);
+}
+
+TEST(ConcertPool, MoreGrantsThanAreKeptCountAsTheGreatest) {
+  Pool pool(1);
+  pool.Give(kStart, 1, 0.9, seconds(60), 1);
+  for (int i = 0; i < 50; ++i) pool.Give(kStart + milliseconds(i), 1, 0.01, seconds(2), 2);
+  EXPECT_DOUBLE_EQ(pool.Give(kStart + seconds(10), 2, 1, seconds(2), 1).share, 1 - 0.9);
+}
+
+TEST(ConcertVoter, PromisesNothingBesideAPromiseNorRightAfterAStart) {
+  Voter voter(seconds(2), kStart);
+  const Term a{1, 7}, b{2, 8};
+  EXPECT_FALSE(voter.Ask(kStart + milliseconds(2039), a));  // before its start it may have promised something
+  EXPECT_TRUE(voter.Ask(kStart + milliseconds(2040), a));
+  EXPECT_FALSE(voter.Ask(kStart + seconds(3), b));
+  EXPECT_TRUE(voter.Ask(kStart + seconds(4), a));
+  EXPECT_FALSE(voter.Ask(kStart + seconds(6), b));
+  EXPECT_TRUE(voter.Ask(kStart + milliseconds(6040), b));
+  EXPECT_FALSE(voter.Ask(kStart + seconds(20), a));  // never back to an earlier term
+}
+
+TEST(ConcertWire, WhatIsWrittenIsReadAndNothingElseDoesHarm) {
+  Message claim, word;
+  claim.term = {300, 77}, claim.round = 9, claim.grant = {5, 1ull << 40, 0.375, milliseconds(1999)};
+  word.kind = Message::Kind::kWord, word.term = {300, 77}, word.round = 9;
+  word.greatest = ~0ull, word.number = 12, word.place = 299, word.taken = 4, word.rate = 1234.5;
+  std::mt19937_64 draw(1);
+  for (const Message& m : {claim, word}) {
+    const auto bytes = wire::Encode(m);
+    EXPECT_LE(bytes.size(), 64u);
+    EXPECT_EQ(wire::Decode(bytes), m);
+    for (std::size_t n = 0; n < bytes.size(); ++n) EXPECT_FALSE(wire::Decode({bytes.data(), n}));
+    for (int i = 0; i < 20000; ++i) {
+      auto changed = bytes;
+      for (int k = 0; k < 3; ++k) changed[draw() % changed.size()] = static_cast<std::uint8_t>(draw());
+      if (const auto read = wire::Decode(changed)) {
+        EXPECT_TRUE(read->grant.share >= 0 && read->grant.share <= 1);
+        EXPECT_TRUE(read->rate >= 0 && read->rate <= wire::kMostRate);
+        EXPECT_LE(read->grant.lasts, wire::kLongest);
+      }
+    }
+  }
+}
+
+TEST(ConcertSettings, WhatIsWrongIsSaidWithItsLine) {
+  const struct {
+    std::string text;
+    Around around;
+    std::string part;  // empty: it is right
+  } table[] = {
+      {"[concert]\n", {true, 5}, ""},
+      {"[concert]\nreserve = \"40%\"\nlease = \"3s\"\n", {true, 5}, ""},
+      {"[concert]\n", {false, 5}, "f.toml:2:1: [concert] [concert] needs [peers]"},
+      {"[concert]\n", {true, 2}, "three are needed"},
+      {"[concert]\nlease = \"100ms\"\n", {true, 5}, "f.toml:3:9: [range] 500ms to 1m is accepted"},
+      {"[concert]\nreserve = \"140%\"\n", {true, 5}, "f.toml:3:11"},
+      {"[concert]\nleases = 1\n", {true, 5}, "lease"},
+  };
+  for (const auto& [text, around, part] : table) {
+    operator_file::Diagnostics diagnostics("f.toml");
+    Spec spec;
+    const std::vector<operator_file::Section> sections{ConcertSection(&spec)};
+    operator_file::ReadDocument("version = 1\n" + text, sections, &diagnostics);
+    const auto settings = Build(spec, around, &diagnostics);
+    std::string said;
+    for (const auto& line : diagnostics.Lines()) said += line + "\n";
+    EXPECT_EQ(settings.has_value(), part.empty()) << text << said;
+    EXPECT_NE(said.find(part), std::string::npos) << text << said;
+  }
+}
+
+// Requests of one tenant that are let in over a second, where those over its quota are worth nothing.
+int LetIn(const std::vector<brackenspoke::Share>& shares) {
+  using namespace brackenspoke;
+  brackenspoke::Settings s;
+  s.balancers = 5;
+  s.over_share_worth = 0;
+  s.tenants = {{100}};  // a second, of all proxies
+  s.classes.resize(1);
+  s.classes[0].aim = s.classes[0].deadline = Duration(1000);
+  Balancer balancer(s, 1);
+  std::vector<Action> actions;
+  ListUpdate list;
+  list.kind = ListKind::kFull;
+  list.entries.resize(1);
+  list.entries[0].server = 1;
+  balancer.Handle(TimePoint(Duration(1)), list, &actions);
+  for (const Share& share : shares) balancer.Handle(TimePoint(Duration(1)), share, &actions);
+  int let_in = 0;
+  for (RequestId id = 1; id <= 400; ++id) {
+    const TimePoint now(Duration(2 + 10 * static_cast<double>(id)));
+    Submit submit;
+    submit.request = id;
+    submit.due = now + Duration(1000);
+    actions.clear();
+    balancer.Handle(now, submit, &actions);
+    for (const Action& action : actions) {
+      if (!std::holds_alternative<Dispatch>(action)) continue;
+      let_in += id > 100;  // what was in store at the start is used up by then
+      AttemptEnded end;
+      end.request = id, end.server = 1, end.outcome = Outcome::kOk, end.took = Duration(1),
+      end.settled = true;
+      std::vector<Action> rest;
+      balancer.Handle(now + Duration(1), end, &rest);
+    }
+  }
+  return let_in;
+}
+
+TEST(ConcertModule, AShareHoldsUntilItsEndAndWhatIsNoneSaysNothing) {
+  using brackenspoke::Duration;
+  using brackenspoke::Share;
+  using brackenspoke::TimePoint;
+  const TimePoint never(Duration(1e9)), middle(Duration(2502));
+  EXPECT_NEAR(LetIn({}), 60, 3);                          // a fifth of 100, for 3 s
+  EXPECT_NEAR(LetIn({Share{0.5, never, 0.05}}), 150, 4);  // half
+  EXPECT_NEAR(LetIn({Share{0.5, middle, 0.05}}), 82, 5);  // half, and then a twentieth
+  EXPECT_NEAR(LetIn({Share{0, never, 0.5}, Share{2, never, 1}, Share{0.5, never, 0}}), 60, 3);
+}
+
+}  // namespace
+}  // namespace kestrelline::concert
