A stand-in that vanished listens before it resets whom it had

At its return the stand-in closed its listeners, reset all connections and listened only then: a client that came again on the reset was refused where the machine was slow between the two (src/standin/converter.cpp, SetVanished). Shown: 20 ms of sleep between the two fails the test each time; with the order changed the same sleeps pass. Change: it listens first.

--- a/src/standin/converter.cpp
+++ b/src/standin/converter.cpp
@@ -372,8 +372,9 @@
   fillers_.clear();
   held_.clear();
   Shut();
-  ResetAll();
+  // It listens before anybody hears of its return: whoever is reset comes again at once.
   Listen();
+  ResetAll();
 }
 
 void Converter::ArmTimer() {
