--- a/src/fleet/subset.h
+++ b/src/fleet/subset.h
@@ -15,6 +15,9 @@
 
 namespace kestrelline::fleet {
 
+// Price of a crossing of zones: over it a proxy uses its own zone beside an arc of the others; below, one
+// even choice is worth more.
+constexpr double kWorthStaying = 0.02;
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr int kLeastSubset = 8;       // half may be ejected, and the rest is still a choice
 constexpr int kFewest = 3;            // where hundreds of proxies share few servers
@@ -24,6 +27,11 @@
 constexpr double kLongArc = 32;       // of so many servers chance of their places evens out
 constexpr double kMostUnasked = 128;  // servers that a proxy uses though its traffic does not ask for so many
 
+// Exception, subsetting, where a proxy's own traffic is too thin to judge the whole fleet: it picks among as
+// many servers as its traffic brings to the volume floor within an interval, but no fewer than kLeastSubset,
+// those in service counted. Servers stand on the ring by a hash of their id. Without this, every proxy held a
+// connection to every server, and hundreds of proxies exhausted what servers accept (incident i0f08a6).
+//
 // How many servers in service a proxy uses, of `servers` that `proxies` share, where its traffic can judge
 // `judged`.
 inline std::size_t SubsetSize(std::size_t servers, int proxies, std::size_t judged) {
--- a/src/measures.h
+++ b/src/measures.h
@@ -245,18 +245,6 @@
   }
 };
 
-// How long clients usually give a try.
-struct UsualTime {
-  Duration time{0};
-  int votes = 0;
-};
-
-// What this proxy has seen of a class.
-struct ClassState {
-  Spread latency, work;  // time over WorkScale; hinted work
-  UsualTime usual_time;
-};
-
 }  // namespace brackenspoke
 
 #endif  // BRACKENSPOKE_SRC_MEASURES_H_
