--- a/src/concert/link.cpp
+++ b/src/concert/link.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr char kDatagrams = 'c';  // of the peers' socket, those that are for this
-constexpr double kOfRate = 0.5;   // of a second's requests in the mean
 constexpr const char* kNames[Event::kKinds] = {"leads", "led", "follows", "granted", "lapsed"};
 
 }  // namespace
@@ -58,13 +57,11 @@
 }
 
 void Link::Measure() {
-  measure_.expires_after(kRateOver);
+  measure_.expires_after(RateMeter::kOver);
   measure_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
-    const std::uint64_t requests = hooks_.requests();
-    rate_ += kOfRate * (static_cast<double>(requests - requests_) - rate_);
-    requests_ = requests;
-    if (node_) node_->SetRate(rate_);
+    const double rate = meter_.Measure(hooks_.requests());
+    if (node_) node_->SetRate(rate);
     Measure();
   });
 }
@@ -123,7 +120,7 @@
   put("_share", node_ ? node_->Share(now) : 0);
   put("_leads", node_ && node_->Leads(now) ? 1 : 0);
   put("_term", node_ ? static_cast<double>(node_->term().number) : 0);
-  put("_rate", rate_);
+  put("_rate", meter_.rate());
   for (std::size_t i = 0; i < events_.size(); ++i)
     put(std::string("_events{kind=\"") + kNames[i] + "\"}", static_cast<double>(events_[i]));
   put("_datagrams{way=\"in\"}", static_cast<double>(received_));
--- a/src/concert/link.h
+++ b/src/concert/link.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "concert/node.h"
+#include "concert/rate_meter.h"
 #include "concert/settings.h"
 #include "peers/link.h"
 
@@ -43,8 +44,6 @@
   std::string FiguresText() const;
 
  private:
-  static constexpr std::chrono::seconds kRateOver{1};  // averaging of what comes
-
   void Begin();
   void Measure();
   void Flush();
@@ -59,8 +58,7 @@
   bool handed_over_ = false;
   boost::asio::steady_timer timer_, measure_;
   Node::Standing told_{-1, {}, -1};
-  std::uint64_t requests_ = 0;
-  double rate_ = 0;
+  RateMeter meter_;
   std::array<std::uint64_t, Event::kKinds> events_{};
   std::uint64_t sent_ = 0, received_ = 0, unread_ = 0;
 };
--- a/src/sim/faults.cpp
+++ b/src/sim/faults.cpp
@@ -40,10 +40,10 @@
     return;
   }
   if (kind.target == standin::Target::kNetwork) {
-    // What is cut waits, as TCP sends it again, and comes once that is over; what connects meanwhile does not
-    // come up. Other faults of the network are for datagrams, of which this site has none: kestrelsim peers
-    // plays them.
-    if (fault.kind != Fault::Kind::kCut) return log("is not played here");
+    if (peering_) peering_->Apply(fault);
+    // Between proxies and servers, what is cut waits, as TCP sends it again, and comes once that is over;
+    // what connects meanwhile does not come up. Other faults of the network are for datagrams.
+    if (fault.kind != Fault::Kind::kCut) return log(peering_ ? fault.who : "is not played here");
     std::erase_if(cuts_, [this](const Cut& cut) { return cut.until <= kernel_.now(); });
     cuts_.push_back({fault.who, kernel_.now() + fault.lasts});
     return log(fault.who);
@@ -138,11 +138,13 @@
   switch (fault.kind) {
     case Fault::Kind::kPause:
       if (std::exchange(proxy.paused, true)) return;
+      if (peering_) peering_->Pause(number);
       SayOfProxy(Event::Kind::kPaused, number);
       kernel_.After(fault.lasts, [this, number, life = proxy.node->life()] {
         Proxy& then = proxies_[number];
         if (!then.paused || then.node->life() != life) return;
         then.paused = false;
+        if (peering_) peering_->Resume(number);
         SayOfProxy(Event::Kind::kResumed, number);
         for (const auto& held : std::exchange(then.held, {})) held();
       });
@@ -152,6 +154,7 @@
       return EndProxy(number, fault.lasts);
     case Fault::Kind::kRestartProxy:
       proxy.leaving = true;
+      if (peering_) peering_->Leave(number);
       // Clients that come find no listener any more once it serves nothing new.
       kernel_.After(kComing, [this, number, until = kernel_.now() + kLongestStop, back = fault.lasts] {
         proxies_[number].down_until = kernel_.now() + kLongestStop;
@@ -170,14 +173,19 @@
 
 void Simulation::EndProxy(std::uint32_t number, Microseconds back) {
   Proxy& proxy = proxies_[number];
+  const bool empty = proxy.node->held() == 0;  // whoever ends by itself has written its answers first
   proxy.node->Die(kernel_.now());
+  if (peering_) peering_->Kill(number);
   proxy.held.clear();
   proxy.paused = proxy.leaving = false;
   hosts_.NodeDied(number);
   // Its clients' connections break; what they had asked there they see as failed.
   std::vector<std::shared_ptr<sim::Try>> lost;
   for (const auto& [id, call] : calls_) {
-    if (call->open && !call->open->over && call->open->node == number) lost.push_back(call->open);
+    const auto& open = call->open;
+    if (!open || open->over || open->node != number) continue;
+    if (open->left.count() >= 0 && (empty || open->left <= kernel_.now())) continue;  // it comes
+    lost.push_back(open);
   }
   std::sort(lost.begin(), lost.end(), [](const auto& a, const auto& b) { return a->id < b->id; });
   for (const auto& of : lost) {
@@ -197,6 +205,7 @@
   proxy.not_ready.assign(directory_.size(), false);
   proxy.node->Start(
       hashing::Mixed(scenario_.seed ^ (std::uint64_t{number} << 32 | (proxy.node->life() + 1))));
+  if (peering_) peering_->Start(number);
   // Until discovery answers it asks again and again; clients come once it is ready.
   proxy.down_until = Microseconds(-1);
   kernel_.After(scenario_.network.list + Jitter(), [this, number] { Deliver(number); });
--- a/src/sim/node.cpp
+++ b/src/sim/node.cpp
@@ -56,6 +56,8 @@
 
 void Node::Listed(ListUpdate list, Microseconds now) { Feed(std::move(list), now); }
 
+void Node::Shared(const Share& share, Microseconds now) { Feed(share, now); }
+
 void Node::Arrived(std::shared_ptr<const Try> of, Microseconds now) {
   const RequestId id = ++last_request_;
   Submit submit;
--- a/src/sim/node.h
+++ b/src/sim/node.h
@@ -46,6 +46,7 @@
   void Die(Microseconds now);
 
   void Listed(brackenspoke::ListUpdate list, Microseconds now);
+  void Shared(const brackenspoke::Share& share, Microseconds now);
   void Arrived(std::shared_ptr<const Try> of, Microseconds now);
   void ClientGone(const Try& of, Microseconds now);
   void Ended(const AttemptPtr& attempt, brackenspoke::Outcome outcome, Microseconds now);
--- a/src/sim/peers_world.cpp
+++ b/src/sim/peers_world.cpp
@@ -22,14 +22,19 @@
 
 }  // namespace
 
-PeersWorld::PeersWorld(Options options)
+PeersWorld::PeersWorld(Options options, Kernel* kernel)
     : options_(options),
-      kernel_(options.seed),
+      own_(kernel ? nullptr : std::make_unique<Kernel>(options.seed)),
+      kernel_(kernel ? *kernel : *own_),
       net_(options.seed, {.delay = options.delay, .jitter = options.jitter}),
       members_(static_cast<std::size_t>(options.members)) {}
 
-peers::Time PeersWorld::Now() const {
-  return peers::Time(std::chrono::hours(1)) + std::chrono::duration_cast<peers::Span>(kernel_.now());
+peers::Time PeersWorld::TimeOf(Microseconds at) {
+  return peers::Time(std::chrono::hours(1)) + std::chrono::duration_cast<peers::Span>(at);
+}
+
+Microseconds PeersWorld::MomentOf(peers::Time at) {
+  return std::chrono::floor<Microseconds>(at - TimeOf(Microseconds(0)));
 }
 
 void PeersWorld::StartAll() {
@@ -71,6 +76,7 @@
     p.concert = std::make_unique<concert::Node>(std::move(divided), Now());
   }
   p.node = std::make_unique<peers::Node>(std::move(o), Now());
+  p.told = {-1, {}, -1};
   p.paused = false;
   p.waiting.clear();
   p.ticking = false;
@@ -165,6 +171,10 @@
   if (p.concert) {
     for (const concert::Event& event : p.concert->TakeEvents())
       if (on_divided) on_divided(member, event);
+    if (const auto standing = p.concert->standing(); on_standing && standing != p.told) {
+      p.told = standing;
+      on_standing(member, standing);
+    }
     for (const concert::Outgoing& out : p.concert->TakeOutgoing()) {
       const auto bytes = concert::wire::Encode(out.message);
       const std::size_t whole = bytes.size() + peers::wire::kSealBytes;
--- a/src/sim/peers_world.h
+++ b/src/sim/peers_world.h
@@ -49,7 +49,8 @@
   // Within which all of a start begin, and from SIGTERM to the end.
   static constexpr Microseconds kStartsWithin{200000}, kLeaves{500000};
 
-  explicit PeersWorld(Options options);
+  // In a time of its own, or that of `kernel`, which must outlive it.
+  explicit PeersWorld(Options options, Kernel* kernel = nullptr);
 
   // Starts all of them, within kStartsWithin.
   void StartAll();
@@ -85,7 +86,10 @@
   bool paused(int member) const { return members_[static_cast<std::size_t>(member)].paused; }
   void Flush(int member);
   bool runs(int member) const { return members_[static_cast<std::size_t>(member)].node != nullptr; }
-  peers::Time Now() const;
+  peers::Time Now() const { return TimeOf(kernel_.now()); }
+  // What members take a moment of the kernel's for, and the last moment that is no later.
+  static peers::Time TimeOf(Microseconds at);
+  static Microseconds MomentOf(peers::Time at);
   const Totals& totals() const { return totals_; }
   static std::string Name(int member) { return "n" + std::to_string(member); }
 
@@ -93,6 +97,7 @@
   std::function<void(int member, const peers::Event&)> on_event;
   std::function<void(int member, const replica::Event&)> on_shared;
   std::function<void(int member, const concert::Event&)> on_divided;
+  std::function<void(int member, const concert::Node::Standing&)> on_standing;  // each that is another
   std::function<void(int member, replica::Rounds::Id, replica::Rounds::Verdict)> on_verdict;
 
  private:
@@ -108,6 +113,7 @@
     std::unique_ptr<peers::Node> node;
     std::unique_ptr<replica::Node> replica;
     std::unique_ptr<concert::Node> concert;
+    concert::Node::Standing told{-1, {}, -1};
     std::uint64_t life = 0;  // one more with each start and end: what was meant for another one is void
     int address = 0;
     bool paused = false, ticking = false;
@@ -121,7 +127,8 @@
   void Receive(Process& process, const Parcel& parcel);
 
   Options options_;
-  Kernel kernel_;
+  std::unique_ptr<Kernel> own_;
+  Kernel& kernel_;
   standin::NetFaults net_;
   std::vector<Process> members_;
   std::map<int, int> at_;  // who is at an address
--- a/src/sim/simulation.cpp
+++ b/src/sim/simulation.cpp
@@ -56,6 +56,7 @@
 bool ConfigIsValid(const Scenario& scenario, std::string* why) {
   try {
     SettingsOf(scenario, 0);
+    Peering::ConcertOf(scenario.site);
     return true;
   } catch (const std::exception& error) {  // BadConfig, or of JSON
     *why = error.what();
@@ -92,10 +93,13 @@
         static_cast<int>(std::find(site.zones.begin(), site.zones.end(), spec.zone) - site.zones.begin()));
     entry_of_.push_back(directory_.Add(spec.id, h, zones_.back(), spec.cell));
   }
+  report_.tenants.resize(scenario_.plan.tenants.size());
   proxies_.resize(static_cast<std::size_t>(std::max(1, site.proxies)));
   for (std::uint32_t n = 0; n < proxies_.size(); ++n) {
     Node::Hooks hooks;
     hooks.answer = [this](std::shared_ptr<const sim::Try> of, Answer answer) {
+      if (const auto call = calls_.find(of->call); call != calls_.end() && call->second->open == of)
+        call->second->open->left = kernel_.now() + scenario_.network.proxy;
       kernel_.After(scenario_.network.proxy + scenario_.network.client + Jitter(),
                     [this, of = std::move(of), answer = std::move(answer)] { OnAnswer(of, answer); });
     };
@@ -137,6 +141,12 @@
     proxies_[n].node = std::make_unique<Node>(n, SettingsOf(scenario_, n), scenario_.hold, std::move(hooks),
                                               scenario_.memory_survives);
   }
+  if (!site.peers) return;
+  peering_ = std::make_unique<Peering>(kernel_, site, hashing::Mixed(scenario_.seed + 2),
+                                       [this](std::uint32_t n, const brackenspoke::Share& share) {
+                                         if (proxies_[n].node->up())
+                                           proxies_[n].node->Shared(share, kernel_.now());
+                                       });
 }
 
 Simulation::~Simulation() = default;
@@ -297,7 +307,9 @@
   kernel_.After(way, [this, made, life] {
     AtProxy(made->node, [this, made, life] {
       Node& node = *proxies_[made->node].node;
-      if (node.up() && node.life() == life && !made->over) node.Arrived(made, kernel_.now());
+      if (!node.up() || node.life() != life || made->over) return;
+      if (peering_) peering_->Arrived(made->node);
+      node.Arrived(made, kernel_.now());
     });
   });
   // A moment longer, so that an answer that the rules hold to be in time is seen.
@@ -343,6 +355,11 @@
   report_.results.Add(call.arrival.request_class, outcome, {call.arrival.at, sent - kSecond, now - kSecond});
   const auto& c = scenario_.site.classes[call.request_class];
   report_.worth_asked += 1;
+  if (call.arrival.tenant < report_.tenants.size()) {
+    Report::Tenant& tenant = report_.tenants[call.arrival.tenant];
+    ++tenant.asked;
+    tenant.served += outcome == load::Outcome::kServed;
+  }
   if (outcome == load::Outcome::kServed) report_.worth_earned += now - intended <= c.deadline / 2 ? 1 : 0.5;
   calls_.erase(found);
 }
--- a/src/sim/simulation.h
+++ b/src/sim/simulation.h
@@ -23,6 +23,7 @@
 #include "sim/hosts.h"
 #include "sim/kernel.h"
 #include "sim/node.h"
+#include "sim/peering.h"
 #include "sim/scenario.h"
 
 namespace kestrelline::sim {
@@ -36,6 +37,10 @@
   std::uint64_t history = 0;  // a hash of all that was told to the ledger, in its order
   Microseconds took{0};       // virtual time
   bool stopped = false;       // at a breach
+  struct Tenant {
+    std::uint64_t asked = 0, served = 0;
+  };
+  std::vector<Tenant> tenants;  // of the plan, in its order
   double worth_asked = 0,
          worth_earned = 0;  // by the classes' worth of a served answer, halved past half its time
   double service() const { return worth_asked > 0 ? worth_earned / worth_asked : 1; }
@@ -142,6 +147,7 @@
   Directory directory_;
   std::vector<std::uint32_t> entry_of_;  // by host: of the directory
   std::vector<Proxy> proxies_;
+  std::unique_ptr<Peering> peering_;       // nothing where the site's proxies are no peers
   std::vector<int> zones_;                 // by host
   std::vector<std::uint32_t> site_class_;  // by the plan's
   load::Arrivals arrivals_;
--- a/src/sim/wire.h
+++ b/src/sim/wire.h
@@ -27,6 +27,7 @@
   Microseconds due{0};     // its client gives up then
   std::uint64_t call = 0;  // of its client
   bool over = false;       // its client waits no more
+  Microseconds left{-1};   // its answer leaves the proxy then; below 0: there is none
 };
 
 // One attempt of a proxy at a server.
