What a class may do on each side of a cut: [[partition]] by class, told by how many are seen

Need: operators want certified copies refused, or previews held to a rate, where a proxy sees half of the fleet or less; until now every class was served as ever under part and alone. Site key partition of the stand-in. Off without the section.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -175,6 +175,12 @@
   TimePoint until{};
   double after = 1;
 };
+// So many requests of a class may all proxies take together from now on, a second, and this one its share of
+// that; what is over it is refused when it comes. 0: none; below 0: any number, as without this.
+struct ClassLimit {
+  int request_class = 0;
+  double per_s = -1;
+};
 struct StreamStarted {
   RequestId request = 0;
   int attempt = 0;
@@ -193,8 +199,8 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<ListUpdate, Submit, BodyNews, Claimed, Share, StreamStarted, AttemptEnded,
-                           ClientGone, TimerFired>;
+using Event = std::variant<ListUpdate, Submit, BodyNews, Claimed, Share, ClassLimit, StreamStarted,
+                           AttemptEnded, ClientGone, TimerFired>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -19,6 +19,7 @@
 #include "app/plugins.h"
 #include "app/replica_command.h"
 #include "concert/link.h"
+#include "concert/partition_link.h"
 #include "config.h"
 #include "peers/link.h"
 #include "proxy.h"
@@ -116,12 +117,13 @@
   std::unique_ptr<kestrelline::replica::Link> replica;  // null: nothing is shared
   std::unique_ptr<kestrelline::replica::Claims> claims;
   std::unique_ptr<kestrelline::concert::Link> concert;  // null: what all have is divided as configured
+  std::unique_ptr<kestrelline::concert::PartitionLink> partition;  // null: classes are served as ever
 };
 
 Fleet JoinPeers(boost::asio::io_context& io, brackenspoke::proxy::Proxy& proxy,
-                kestrelline::peers::Settings settings,
-                const std::optional<kestrelline::replica::Settings>& shared,
-                const std::optional<kestrelline::concert::Settings>& divided) {
+                const app::OperatorConfig& loaded) {
+  const auto& shared = loaded.replica;
+  const auto& divided = loaded.concert;
   using kestrelline::peers::Link;
   const auto& config = proxy.config();
   const auto zone = static_cast<std::size_t>(config.settings.zone);
@@ -130,7 +132,7 @@
                 /*may_wait=*/config.inherited_listener >= 0};
   const auto say = [](const std::string& line) { std::fprintf(stderr, "kestrelline: %s\n", line.c_str()); };
   Fleet fleet;
-  fleet.peers = std::make_unique<Link>(io, std::move(settings), std::move(who), say);
+  fleet.peers = std::make_unique<Link>(io, *loaded.peers, std::move(who), say);
   Link* l = fleet.peers.get();
   brackenspoke::proxy::Proxy::Peers hooks{[l] { return l->Report(); },
                                           [l] { return l->FiguresText(); },
@@ -164,6 +166,14 @@
     hooks.figures = [before = hooks.figures, c] { return before() + c->FiguresText(); };
     hooks.hand_over = [before = hooks.hand_over, c] { c->HandOver(), before(); };
   }
+  if (!loaded.partition.empty()) {
+    fleet.partition = std::make_unique<kestrelline::concert::PartitionLink>(
+        *l, config.settings.balancers, loaded.partition, config.classes,
+        kestrelline::concert::PartitionLink::Hooks{
+            [&proxy](int request_class, double per_s) { proxy.OnClassLimit(request_class, per_s); }, say});
+    auto* p = fleet.partition.get();
+    hooks.figures = [before = hooks.figures, p] { return before() + p->FiguresText(); };
+  }
   proxy.SetPeers(std::move(hooks));
   return fleet;
 }
@@ -179,13 +189,10 @@
                            }});
     brackenspoke::proxy::Proxy::Routes routes;
     std::shared_ptr<plugin::Tagger> tagger;
-    std::optional<kestrelline::peers::Settings> peers;
-    std::optional<kestrelline::replica::Settings> replica;
-    std::optional<kestrelline::concert::Settings> concert;
+    std::optional<app::OperatorConfig> loaded;
     if (!command.operator_file.empty()) {
       kestrelline::operator_file::Diagnostics diagnostics(command.operator_file);
-      const auto loaded =
-          app::LoadOperatorFile(command.operator_file, config, app::Keep::kOutcome, &diagnostics);
+      loaded = app::LoadOperatorFile(command.operator_file, config, app::Keep::kOutcome, &diagnostics);
       if (loaded && !loaded->plugins->plugins().empty()) {
         tagger = app::LoadAndWait(io, host, *loaded, &diagnostics);
         config.sockets -= static_cast<int>(loaded->plugins->plugins().size() * plugin::kDescriptorsEach);
@@ -193,15 +200,13 @@
       Say(diagnostics);
       if (!diagnostics.ok()) return 1;
       routes = loaded->routes;
-      peers = loaded->peers;
-      replica = loaded->replica;
-      concert = loaded->concert;
       // One that takes over from another process gets what that one holds, once it is ready.
-      config.await_copies = replica && replica->ready_within.count() > 0 && config.inherited_listener < 0;
-      if (peers) config.sockets -= kestrelline::peers::Link::kDescriptors;
+      config.await_copies =
+          loaded->replica && loaded->replica->ready_within.count() > 0 && config.inherited_listener < 0;
+      if (loaded->peers) config.sockets -= kestrelline::peers::Link::kDescriptors;
     }
     brackenspoke::proxy::Proxy proxy(io, std::move(config), std::move(routes), std::move(tagger));
-    const Fleet fleet = peers ? JoinPeers(io, proxy, std::move(*peers), replica, concert) : Fleet();
+    const Fleet fleet = loaded && loaded->peers ? JoinPeers(io, proxy, *loaded) : Fleet();
     ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
     });
--- a/src/app/operator_config.cpp
+++ b/src/app/operator_config.cpp
@@ -17,13 +17,15 @@
 
 // The one table of sections.
 std::vector<Section> AllSections(routing::Spec* routes, plugin::Spec* plugins, peers::Spec* peers,
-                                 replica::Spec* replica, concert::Spec* concert) {
+                                 replica::Spec* replica, concert::Spec* concert,
+                                 concert::PartitionSpec* partition) {
   std::vector<Section> all;
   for (auto& section : routing::Sections(routes)) all.push_back(std::move(section));
   all.push_back(plugin::PluginSection(plugins));
   all.push_back(peers::PeersSection(peers));
   all.push_back(replica::ReplicaSection(replica));
   all.push_back(concert::ConcertSection(concert));
+  all.push_back(concert::PartitionSection(partition));
   return all;
 }
 
@@ -61,9 +63,10 @@
   peers::Spec peers;
   replica::Spec replica;
   concert::Spec concert;
+  concert::PartitionSpec partition;
   config.site = SiteOf(platform);
-  operator_file::ReadDocument(text, AllSections(&config.spec, &plugins, &peers, &replica, &concert),
-                              diagnostics);
+  operator_file::ReadDocument(
+      text, AllSections(&config.spec, &plugins, &peers, &replica, &concert, &partition), diagnostics);
   // What could be read is judged too, so that one run tells of everything; what could not is not guessed at.
   config.routes = routing::RouteTable::Build(config.spec, config.site, diagnostics);
   if (config.routes) {
@@ -78,6 +81,8 @@
       replica, {config.peers.has_value(), ClaimedAt(config.spec), platform.memory_mb}, diagnostics);
   config.concert =
       concert::Build(concert, {config.peers.has_value(), platform.settings.balancers}, diagnostics);
+  config.partition = concert::Build(
+      partition, concert::PartitionAround{config.peers.has_value(), platform.classes}, diagnostics);
   if (!diagnostics->ok() || !config.routes || !config.plugins) return std::nullopt;
   if (keep == Keep::kOutcome) config.spec = {};
   return config;
--- a/src/app/operator_config.h
+++ b/src/app/operator_config.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "concert/partition.h"
 #include "concert/settings.h"
 #include "config.h"
 #include "operator/diagnostics.h"
@@ -28,6 +29,7 @@
   std::optional<peers::Settings> peers;                // nothing: off
   std::optional<replica::Settings> replica;            // the same
   std::optional<concert::Settings> concert;            // the same
+  std::vector<concert::ClassPartition> partition;      // empty: off
   routing::Spec spec;  // as worded, for those who explain it; empty unless kept
   routing::Site site;
 };
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -309,7 +309,8 @@
     r.limits = e.limits;
     if (e.claims && !e.claims->empty()) r.claims = e.claims;
     if (r.limits && r.limits->patience.count() > 0) r.due = std::min(r.due, now_ + r.limits->patience);
-    if (r.value <= 0 || (r.limits && routes_.Full(*r.limits)) || admission_.Throttled(r))
+    if (r.value <= 0 || (r.limits && routes_.Full(*r.limits)) || admission_.Throttled(r) ||
+        !admission_.TakesClass(r))
       return Finish(r, admission_.StayAway(r));
     if (r.limits) routes_.Enter(*r.limits);
     const Duration useful =
@@ -376,6 +377,8 @@
     state_.sharers = {1 / e.share, 1 / e.after, e.until};
   }
 
+  void On(const ClassLimit& e) { admission_.Limit(e); }
+
   // ---- Discovery -----------------------------------------------------------------------------------
   void On(const ListUpdate& e) {
     if (settings_.must_ask_for_list) asking_.OnList(e.kind, now_, [this] { return state_.random.Unit(); });
--- /dev/null
+++ b/src/concert/partition_link.cpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "concert/partition_link.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "management/figures.h"
+
+namespace kestrelline::concert {
+
+PartitionLink::PartitionLink(peers::Link& peers, int configured, std::vector<ClassPartition> classes,
+                             std::vector<std::string> names, Hooks hooks)
+    : peers_(peers),
+      configured_(configured),
+      classes_(std::move(classes)),
+      names_(std::move(names)),
+      hooks_(std::move(hooks)) {
+  peers_.OnEvent([this](const peers::Event&) { Follow(); });
+  Follow();
+}
+
+void PartitionLink::Follow() {
+  const peers::Node& node = peers_.node();
+  const std::size_t present = node.view().present();
+  const Situation now = SituationOf(node.reading(), present, configured_);
+  const Situation before = std::exchange(situation_, now);
+  if (now == before) return;
+  std::string line = std::string("partition: ") + NameOf(now) + " (" + std::to_string(present) + " of " +
+                     std::to_string(configured_) + ")";
+  for (const ClassPartition& c : classes_) {
+    const double limit = LimitOf(c, now);
+    if (limit != LimitOf(c, before)) hooks_.on_limit(c.request_class, limit);
+    char text[48] = " is served";
+    if (limit == 0) std::snprintf(text, sizeof text, " is refused");
+    if (limit > 0) std::snprintf(text, sizeof text, " has its part of %.6g a second", limit);
+    line += "; " + names_[static_cast<std::size_t>(c.request_class)] + text;
+  }
+  hooks_.log(line);
+}
+
+std::string PartitionLink::FiguresText() const {
+  std::string text = "proxy_partition_situation " + std::to_string(static_cast<int>(situation_)) + "\n";
+  for (const ClassPartition& c : classes_) {
+    char line[48];
+    std::snprintf(line, sizeof line, "\"} %.6g\n", LimitOf(c, situation_));
+    text += "proxy_partition_limit{class=\"" +
+            management::Escaped(names_[static_cast<std::size_t>(c.request_class)]) + line;
+  }
+  return text;
+}
+
+}  // namespace kestrelline::concert
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -69,7 +69,26 @@
     return std::min(state_.settings.max_retry_after, state_.settings.classes[r.cls].deadline);
   }
 
+  // Of ClassLimit: one token is one request of the class.
+  void Limit(const ClassLimit& e) {
+    if (e.request_class < 0 || e.request_class >= static_cast<int>(state_.classes.size())) return;
+    if (std::isnan(e.per_s)) return;
+    limits_.resize(state_.classes.size());
+    limits_[e.request_class].per_s = e.per_s;
+  }
+  bool TakesClass(const Request& r) {
+    if (limits_.empty() || limits_[r.cls].per_s < 0) return true;
+    double& tokens = limits_[r.cls].tokens;
+    if (limits_[r.cls].per_s == 0 || tokens < 1) return false;
+    tokens -= 1;
+    return true;
+  }
+
   void FillShares(double elapsed) {
+    for (Limited& limit : limits_) {
+      const double rate = limit.per_s / state_.Sharing() / 1000;
+      if (rate > 0) limit.tokens = std::min(std::max(1.0, rate * 1000), limit.tokens + rate * elapsed);
+    }
     for (std::size_t t = 0; t < tokens_.size(); ++t) {
       const double rate = state_.settings.tenants[t].quota_per_s / state_.Sharing() / 1000;
       tokens_[t] = std::min(std::max(1.0, rate * 2000), tokens_[t] + rate * elapsed);
@@ -93,7 +112,12 @@
     return true;
   }
 
+  struct Limited {
+    double per_s = -1, tokens = 0;
+  };
+
   State& state_;
+  std::vector<Limited> limits_;  // by class; empty: none was ever set
   Spread mean_aim_;
   std::vector<double> tokens_;  // of tenants
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -114,6 +114,8 @@
              std::max(after, kNothing)});
 }
 
+void Proxy::OnClassLimit(int request_class, double per_s) { Feed(ClassLimit{request_class, per_s}); }
+
 void Proxy::OnLife() { clients_->OnLife(); }
 
 kestrelline::lifecycle::Done Proxy::Drain() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -64,6 +64,8 @@
 
   // Of what all proxies have together; see Share in balancer.h. Requests that came since the start.
   void OnShare(double share, Steady::time_point until, double after);
+  // How many requests of a class all proxies may take together, a second; below 0: any number.
+  void OnClassLimit(int request_class, double per_s);
   std::uint64_t requests() const { return last_request_; }
 
   // Takes over where discovery is from a configuration read anew; the rest of it holds from the next start
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -92,6 +92,7 @@
        << network_->advertised(std::min(1, site_.proxies - 1)) << "\"]\nkey_file = \"peers.key\"\n";
   if (site_.replica) file << "[replica]\n" << *site_.replica << '\n';
   if (site_.concert) file << "[concert]\n" << *site_.concert << '\n';
+  file << site_.partition << '\n';
   if (!file.flush()) throw std::runtime_error(options_.directory + ": a proxy's file cannot be written");
 }
 
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -37,6 +37,7 @@
     Key{"replica", Kind::kText,
         "With peers: the lines of [replica] in each proxy's file; without it there is none."},
     Key{"concert", Kind::kText, "The same of [concert]."},
+    Key{"partition", Kind::kText, "With peers: tables of [[partition]], with their heads."},
 };
 constexpr std::array kClassKeys{
     Key{"name", Kind::kText, "The class.", true},
@@ -91,6 +92,7 @@
   on("peers", &site->peers);
   if (const auto text = reader.Text("replica")) site->replica = text->value;
   if (const auto text = reader.Text("concert")) site->concert = text->value;
+  if (const auto text = reader.Text("partition")) site->partition = text->value;
 }
 
 void ReadClass(const TableReader& reader, SiteSpec* site, Diagnostics* diagnostics) {
--- a/src/standin/site.h
+++ b/src/standin/site.h
@@ -51,6 +51,7 @@
   bool peers = false;  // proxies know each other, through a network whose faults are set here
   // With peers: what [replica] and [concert] say; nothing: they are not there.
   std::optional<std::string> replica, concert;
+  std::string partition;  // tables of [[partition]], whole; the same
   std::vector<Fault> faults;
 
   load::RuleFigures Rules() const;
--- a/tests/concert/processes_test.cpp
+++ b/tests/concert/processes_test.cpp
@@ -42,6 +42,71 @@
   ASSERT_TRUE(fleet.AwaitShares({1, 2, 4}, 0.3));
 }
 
+// What a class may do follows the view: both sides of a cut are parts of the fleet, and one of them at most
+// has more than half. What the smaller one lets through is counted at the servers.
+TEST(PartitionProcesses, EachClassDoesWhatItMayOnBothSidesOfACutAndAlone) {
+  constexpr int kRate = 50;  // of looks, a second, that all five may take together
+  PeerFleet fleet(5, {"a", "b"}, std::nullopt, 2, std::nullopt,
+                  "[[partition]]\nclass = \"book\"\nminority = \"refuse\"\n"
+                  "[[partition]]\nclass = \"look\"\nminority = \"within\"\nalone = \"refuse\"\nrate = " +
+                      std::to_string(kRate) + "\n");
+  const auto addresses = fleet.fleet().Ask([](standin::Fleet& f) { return f.proxy_addresses(); });
+  const auto ask = [&](int i, const std::string& method, const std::string& path) {
+    return Client(RunningFleet::EndpointOf(addresses[static_cast<std::size_t>(i)]))
+        .Ask(method + " /" + path + " HTTP/1.1\r\nHost: x\r\nReq-Id: " + path + std::to_string(i) +
+             "\r\nReq-Kind: " + path + (path == "change" ? "\r\nIdempotency-Key: k" : "") +
+             "\r\nContent-Length: 0\r\n\r\n");
+  };
+  const auto await = [&](const Group& group, int situation) {
+    return fleet.Await([&] {
+      return std::all_of(group.begin(), group.end(), [&](int i) {
+        return FiguresOf(fleet.Door(i))["proxy_partition_situation"] == situation;
+      });
+    });
+  };
+  const auto refused = [&](int i, const std::string& method, const std::string& path) {
+    const auto answer = ask(i, method, path);
+    return answer.result_int() == 503 && answer.count("Retry-After") == 1;
+  };
+  ASSERT_TRUE(fleet.AwaitAgreement({fleet.All()}));
+  EXPECT_EQ(ask(1, "POST", "book").result_int(), 200u);
+  fleet.Apply("cut zone:b 10m");
+  ASSERT_TRUE(await({1, 3}, 2));
+  ASSERT_TRUE(await({0, 2, 4}, 1));
+  EXPECT_TRUE(refused(1, "POST", "book"));
+  EXPECT_TRUE(refused(3, "POST", "book"));
+  EXPECT_EQ(ask(0, "POST", "book").result_int(), 200u);
+  EXPECT_EQ(ask(1, "POST", "change").result_int(), 200u);
+  EXPECT_EQ(FiguresOf(fleet.Door(1))["proxy_partition_limit{class=\"look\"}"], kRate);
+  const auto looks = [&] {
+    const auto events = fleet.fleet().events.Get();
+    return std::count_if(events.begin(), events.end(), [](const load::Event& e) {
+      return e.kind == load::Event::Kind::kBegan && e.request.starts_with("look");
+    });
+  };
+  // Each may take a fifth of the rate: it holds if all others still live.
+  const auto before = looks();
+  const auto begun = std::chrono::steady_clock::now();
+  int served = 0, turned_away = 0;
+  for (int n = 0; n < 400; ++n) {
+    const auto status = ask(n % 2 ? 1 : 3, "GET", "look").result_int();
+    served += status == 200, turned_away += status == 503;
+  }
+  const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  EXPECT_EQ(served, looks() - before);
+  EXPECT_EQ(served + turned_away, 400);
+  EXPECT_GT(turned_away, 0);
+  EXPECT_LE(served, 2 * (kRate / 5.0 * (seconds + 0.2) + kRate / 5.0 + 1));  // a second's in store
+  fleet.MendAll();
+  ASSERT_TRUE(await(fleet.All(), 0));
+  EXPECT_EQ(ask(3, "POST", "book").result_int(), 200u);
+  EXPECT_EQ(ask(3, "GET", "look").result_int(), 200u);
+  fleet.Apply("cut n3 10m");
+  ASSERT_TRUE(await({3}, 3));
+  EXPECT_TRUE(refused(3, "GET", "look"));
+  EXPECT_TRUE(refused(3, "POST", "book"));  // as in a minority, where nothing else is said
+}
+
 // Kills, pauses and cuts as a seed draws them: whenever all are asked, what they say they may use sums up to
 // no more than the whole, and there is never more than one that hands out.
 class DividedUnderFaults : public ::testing::TestWithParam<std::uint64_t> {};
--- a/tests/support/peer_fleet.h
+++ b/tests/support/peer_fleet.h
@@ -26,8 +26,9 @@
  public:
   explicit PeerFleet(int proxies, std::vector<std::string> zones = {"a", "b"},
                      std::optional<std::string> replica = std::nullopt, int converters = 2,
-                     std::optional<std::string> concert = std::nullopt)
-      : fleet_(Site(proxies, std::move(zones), std::move(replica), converters, std::move(concert)),
+                     std::optional<std::string> concert = std::nullopt, std::string partition = "")
+      : fleet_(Site(proxies, std::move(zones), std::move(replica), converters, std::move(concert),
+                    std::move(partition)),
                PROXY_PATH, folder_ / ""),
         proxies_(proxies) {}
 
@@ -131,10 +132,11 @@
  private:
   static standin::SiteSpec Site(int proxies, std::vector<std::string> zones,
                                 std::optional<std::string> replica, int converters,
-                                std::optional<std::string> concert) {
+                                std::optional<std::string> concert, std::string partition) {
     auto site = SmallSite(converters);
     site.replica = std::move(replica);
     site.concert = std::move(concert);
+    site.partition = std::move(partition);
     site.proxies = proxies;
     site.zones = std::move(zones);
     site.peers = true;
