--- a/src/load/engine.cpp
+++ b/src/load/engine.cpp
@@ -291,7 +291,8 @@
   const std::size_t first = turn_++ % targets_.size();
   for (std::size_t i = 0; i < targets_.size(); ++i) {
     auto& idle = idle_[(first + i) % targets_.size()];
-    if (idle.empty()) continue;
+    // One that crossed a close goes on a new connection: others that are kept may have been closed as well.
+    if (idle.empty() || request->again) continue;
     const auto connection = idle.back();
     idle.pop_back();
     return Assign(connection, std::move(request));
