--- a/tests/peers/world_test.cpp
+++ b/tests/peers/world_test.cpp
@@ -40,7 +40,7 @@
 TEST_P(Sizes, CrashesReturnsAndHealsAreKnownInTime) {
   const auto [members, loss, within_s] = GetParam();
   const seconds within(within_s);
-  for (std::uint64_t seed = 1; seed <= (members >= 100 ? 1 : testing::OrFewer(3, 1)); ++seed) {
+  for (std::uint64_t seed = 1; seed <= (members >= 100 ? 1u : testing::OrFewer(3u, 1u)); ++seed) {
     PeersWorld::Options options;
     options.members = members, options.zones = 3, options.seed = seed;
     const auto world = Started(options);
