--- a/bench/fleet_worth_bench.cpp
+++ b/bench/fleet_worth_bench.cpp
@@ -67,12 +67,12 @@
                       [k](const std::string& who) { return Fault(4 + 2.2 * k, "restart_proxy", who, 1); });
        return text;
      }},
-    {"seven in ten are killed", 0.85, [](int) { return Fault(8, "kill", "70%", 8); }},
+    {"seven in ten are killed", 1.15, [](int) { return Fault(8, "kill", "70%", 8); }},
     {"a sick converter", 0.75, [](int) { return Fault(6, "lose", "s-03", 18, 0.7); }},
     {"a proxy with a bad path", 0.75,
      [](int) { return Fault(8, "cut", "n1", 2) + Fault(14, "cut", "n1", 2); }},
     // As many again as half of those that the settings name.
-    {"a half again joins", 0.85,
+    {"a half again joins", 1.15,
      [](int n) {
        return Each(n * 2 / 3, n, 1, [](const std::string& who) { return Fault(0, "kill", who, 12); });
      }},
