A client that has gone ends what has not begun for it, in whatever order that is heard

Lines at fault and mends: - Connection::Open and WriteLast wrote for whoever had asked once. Backends::Send gives a handle by which what is not written whole is abandoned with its client, and asks right before an attempt can begin. - Session::WatchClient looked no further once bytes of a next request stood before the client's end.

Each has a test in tests/proxy/departures_test.cpp that forces its order.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -63,25 +63,37 @@
   if (found != backends_.end() && !found->second.usable && found->second.live == 0) backends_.erase(found);
 }
 
-void Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                    Duration hold, AttemptDone done, std::shared_ptr<Upload> upload) {
+AttemptHandle Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
+                             Duration hold, AttemptDone done, Wanted wanted, std::shared_ptr<Upload> upload) {
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
-    connection->Assign(std::move(request), std::move(upload), timeout, hold, std::move(done));
-    return connection->Reuse();
+    connection->Assign(std::move(request), std::move(upload), timeout, hold, std::move(done),
+                       std::move(wanted));
+    connection->Reuse();
+    return {connection, connection->use()};
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
   ++backend.live;
-  connection->Assign(std::move(request), std::move(upload), timeout, hold, std::move(done));
+  connection->Assign(std::move(request), std::move(upload), timeout, hold, std::move(done),
+                     std::move(wanted));
   // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
   // fault.
-  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
-  if (open_ > limits_.connections() && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
-  ++opened_;
-  connection->Open(backend.address, limits_.connect_timeout);
+  if (backend.address.port() == 0) {
+    connection->FinishSoon(Outcome::kConnectFailed);
+  } else if (open_ > limits_.connections() && !CloseOldestIdle()) {
+    connection->FinishSoon(Outcome::kMoot);
+  } else {
+    ++opened_;
+    connection->Open(backend.address, limits_.connect_timeout);
+  }
+  return {connection, connection->use()};
+}
+
+void AttemptHandle::Abandon() const {
+  if (const auto connection = connection_.lock()) connection->Abandon(use_);
 }
 
 // The most recently used of those that have rested. A backend may close just after an answer, or send more
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -39,8 +39,24 @@
 
 class Connection;
 
+// An attempt that is out, or was.
+class AttemptHandle {
+ public:
+  AttemptHandle(std::weak_ptr<Connection> connection, std::uint64_t use)
+      : connection_(std::move(connection)), use_(use) {}
+  // Nobody wants it any more. If its last byte is not written it never is, and the attempt is over at once.
+  void Abandon() const;
+
+ private:
+  std::weak_ptr<Connection> connection_;
+  std::uint64_t use_;  // of the connection, which others use later
+};
+
 class Backends {
  public:
+  // Asked right before the server could begin with an attempt that has waited since its Send.
+  using Wanted = std::function<bool()>;
+
   struct Limits {
     Duration connect_timeout{250};
     Duration conn_idle{15000};
@@ -73,8 +89,9 @@
   // byte is written this much after the others, or never, if the connection breaks first; that attempt has
   // not run then. `upload`: its body, where that is passed on as it comes; `timeout` counts from its last
   // byte then. `done` is called once, never from within this call, and not after the destructor.
-  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, Duration hold,
-            AttemptDone done, std::shared_ptr<Upload> upload = nullptr);
+  AttemptHandle Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
+                     Duration hold, AttemptDone done, Wanted wanted,
+                     std::shared_ptr<Upload> upload = nullptr);
 
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -127,6 +127,7 @@
       } else {
         session->EndIfDue(now);
         session->EndIfLeaving(now);
+        session->LookForEnd();
       }
     }
     if (waiting_for_room_) Accept();
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -34,6 +34,9 @@
   virtual void Failed() = 0;
   // A backend found the request itself faulty.
   virtual void Rejected(boost::beast::http::status status) = 0;
+  // Whether the client has closed its connection by now, whatever it sent ahead and whether or not anybody
+  // has heard of it.
+  virtual bool Gone() const = 0;
 };
 
 // What is done with requests. Neither call may throw.
--- a/src/proxy/connection.cpp
+++ b/src/proxy/connection.cpp
@@ -59,7 +59,11 @@
   SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
   socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
     if (!self->done_) return;
-    if (failed) return self->Finish(IsLocal(failed) ? Outcome::kMoot : Outcome::kConnectFailed);
+    if (failed) {
+      self->local_ = IsLocal(failed);
+      return self->Finish(self->local_ ? Outcome::kMoot : Outcome::kConnectFailed);
+    }
+    if (!self->still_wanted_()) return self->Finish(Outcome::kMoot);
     self->SetTimer(self->deadline_);
     // What speaks before it is asked will not answer what it is asked.
     if (!self->Quiet()) return self->Finish(Outcome::kConnectFailed);
@@ -68,19 +72,19 @@
 }
 
 void Connection::Assign(std::shared_ptr<const HttpRequest> request, std::shared_ptr<Upload> upload,
-                        Duration timeout, Duration hold, AttemptDone done) {
+                        Duration timeout, Duration hold, AttemptDone done, Backends::Wanted wanted) {
   ++use_;
   upload_ = std::move(upload);
   timeout_ = timeout;
   request_ = std::move(request);
   head_.base() = request_->base();
-  head_.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
   head_.body() = {request_->body().data(), request_->body().size()};
   done_ = std::move(done);
+  still_wanted_ = std::move(wanted);
   // Of a body that is still coming, the time counts from its last byte.
   deadline_ = Steady::now() + (upload_ ? Steady::duration(std::chrono::hours(1)) : ToSteady(timeout));
   hold_ = hold;
-  written_ = begun_ = holding_ = answered_ = reading_ = passing_ = broken_ = false;
+  written_ = begun_ = holding_ = answered_ = reading_ = passing_ = broken_ = local_ = false;
   interim_ = 0;
 }
 
@@ -91,7 +95,12 @@
   Write();
 }
 
+void Connection::Abandon(std::uint64_t use) {
+  if (done_ && use == use_ && !written_) Finish(Outcome::kMoot);
+}
+
 void Connection::FinishSoon(Outcome outcome) {
+  local_ = outcome == Outcome::kMoot;
   asio::post(owner_->io_, [self = shared_from_this(), outcome] { self->Finish(outcome); });
 }
 
@@ -143,6 +152,10 @@
 
 void Connection::Write() {
   first_byte_ = Steady::now();
+  // What is left now: the connection may have taken its time to come up, and no part of a millisecond is
+  // more.
+  const Duration left = upload_ ? timeout_ : deadline_ - first_byte_;
+  head_.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::max(left.count(), 0.0))));
   if (upload_) return WriteUpload();
   if (hold_.count() > 0) return WriteButLast();
   http::async_write(socket_, head_, [self = shared_from_this()](const Error& failed, std::size_t) {
@@ -184,6 +197,9 @@
 }
 
 void Connection::WriteLast() {
+  // The server's end may have come in this very turn, and so may the client's.
+  if (PeerEnded()) return Finish(Outcome::kConnectFailed);
+  if (!still_wanted_()) return Finish(Outcome::kMoot);
   holding_ = false;
   SetTimer(deadline_);
   Error ignored;
@@ -379,7 +395,10 @@
 }
 
 void Connection::WriteUpload() {
-  if (!upload_->Begin()) return Finish(Outcome::kMoot);
+  if (!upload_->Begin()) {
+    local_ = true;
+    return Finish(Outcome::kMoot);
+  }
   std::ostringstream text;
   text << head_.base();
   whole_ = std::move(text).str();
@@ -454,7 +473,7 @@
   AttemptResult result;
   result.outcome = outcome;
   result.response = std::move(response);
-  result.local = outcome == Outcome::kMoot;
+  result.local = local_;
   result.broke = broke;
   result.written = written;
   result.answering = answering;
--- a/src/proxy/connection.h
+++ b/src/proxy/connection.h
@@ -32,7 +32,9 @@
   Steady::time_point idle_since() const { return idle_since_; }
   void Open(const Tcp::endpoint& address, Duration connect_timeout);
   void Assign(std::shared_ptr<const HttpRequest> request, std::shared_ptr<Upload> upload, Duration timeout,
-              Duration hold, AttemptDone done);
+              Duration hold, AttemptDone done, Backends::Wanted wanted);
+  std::uint64_t use() const { return use_; }
+  void Abandon(std::uint64_t use);
   void Reuse();
   // An attempt that ends before it has begun; its result still comes from the event loop.
   void FinishSoon(Outcome outcome);
@@ -98,6 +100,7 @@
   std::unique_ptr<kestrelline::bodies::Budget::Share> share_;  // of an answer that passes
   OnPiece wanted_;                                             // its next piece
   AttemptDone done_;                                           // set while an attempt is out
+  Backends::Wanted still_wanted_;
   std::string whole_;  // the same as bytes, where its last one is held back
   Steady::time_point deadline_{}, idle_since_{}, first_byte_{}, last_byte_{};
   Duration hold_{0}, timeout_{0};
@@ -108,6 +111,7 @@
   bool reading_ = false;   // a piece of it is on its way
   bool passing_ = false;   // it is the client's by now, and its attempt is over
   bool broken_ = false;    // the rest of it will not come
+  bool local_ = false;     // no server is to blame for the end, but this process
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/container/small_vector.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -113,6 +114,7 @@
     int attempts_out = 0;                         // two where a second copy is out
     kestrelline::plugin::Tagger::Ticket tagging;  // null once the module has the request
     std::unique_ptr<Keyed> keyed;                 // null where nothing is claimed
+    boost::container::small_vector<AttemptHandle, 2> sent;
   };
   struct Arrival;  // a request that is with its plug-ins
 
@@ -141,6 +143,8 @@
   void OnTagged(RequestId id, const Arrival& arrival, const kestrelline::plugin::Verdict& verdict);
 
   void GiveToModule(Submit submit);
+  // Whether an attempt may begin: its request has no answer yet, and somebody still waits for one.
+  static bool Wanted(const Pending& pending) { return pending.responder && !pending.responder->Gone(); }
   void SendAttempt(const Dispatch& action, int attempt);
   void OnClaimed(const Dispatch& action, int attempt, kestrelline::replica::Claims::Go go);
 
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -134,6 +134,9 @@
 
 void Proxy::OnClientGone(RequestId request) {
   if (!Conclude(request)) return;
+  // What has not gone out whole never does: on a connection that is still coming up it could be late by long.
+  const auto sent = pending_.at(request).sent;
+  for (const AttemptHandle& attempt : sent) attempt.Abandon();
   ForgetIfOver(request);
   Feed(ClientGone{request});
 }
@@ -143,9 +146,10 @@
   const auto now = Steady::now();
   // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
   const int attempt = found == pending_.end() ? 0 : found->second.attempts++;
-  if (found == pending_.end() || !found->second.responder || found->second.attempts_out >= MostOut() ||
-      now >= found->second.due || attempt >= config_.settings.max_attempts) {
-    return Feed(MootEnd(action, attempt, found == pending_.end() || !found->second.responder));
+  const bool wanted = found != pending_.end() && Wanted(found->second);
+  if (!wanted || found->second.attempts_out >= MostOut() || now >= found->second.due ||
+      attempt >= config_.settings.max_attempts) {
+    return Feed(MootEnd(action, attempt, /*settled=*/!wanted));
   }
   Pending& pending = found->second;
   ++pending.attempts_out;
@@ -164,7 +168,7 @@
   const auto found = pending_.find(action.request);
   if (found == pending_.end()) return;
   Pending& pending = found->second;
-  const bool late = !pending.responder || Steady::now() >= pending.due;
+  const bool late = !Wanted(pending) || Steady::now() >= pending.due;
   if (go == Go::kSend && !late) return SendAttempt(action, attempt);
   const Keyed keyed = *pending.keyed;
   if (go == Go::kSend) claims_->After(keyed.key, keyed.groups[static_cast<std::size_t>(attempt)], false);
@@ -190,12 +194,16 @@
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   const ClassSettings& c = config_.settings.classes[pending.request_class];
   const Duration hold = last_byte_.WaitFor(clock_.At(now), c.effect, c.aim);
-  backends_->Send(
+  pending.sent.push_back(backends_->Send(
       action.server, pending.message, timeout, hold,
       [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
         OnAttemptDone(id, attempt, server, now, std::move(result));
       },
-      pending.upload);
+      [this, id = action.request] {
+        const auto found = pending_.find(id);
+        return found != pending_.end() && Wanted(found->second);
+      },
+      pending.upload));
 }
 
 void Proxy::OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "session.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -27,6 +29,7 @@
 constexpr std::size_t kMostEmptyLines = 16;             // bytes of them before a request line
 constexpr std::size_t kMostDrained = 64 * 1024 * 1024;  // of a request that was answered before it had come
 constexpr std::size_t kMostDrainedAtOnce = 4096;
+constexpr std::size_t kMostAheadAtOnce = 256 * 1024;  // read at one sweep of what comes behind a held request
 constexpr const char* kText = "text/plain";
 
 HttpResponse Plain(http::status status, std::string text) {
@@ -299,9 +302,7 @@
 void Session::OnMore(const Error& failed) {
   if (failed) {
     if (IsMalformed(failed)) return GiveUpload(http::status::bad_request, "malformed");
-    const auto self = shared_from_this();
-    owner_->handler_.OnClientGone(request_);
-    return Close();
+    return OnGone();
   }
   std::string& body = parser_->get().body();
   const bool last = parser_->is_done();
@@ -363,6 +364,7 @@
 void Session::Hold(ClientRequest request) {
   Enter(State::kHeld, std::nullopt);
   taken_ = true;
+  unwatched_ = true;
   owner_->figures_.OnTaken();
   request_ = 0;
   const auto id = owner_->handler_.OnRequest(std::move(request), shared_from_this());
@@ -371,22 +373,58 @@
   if (!upload_) WatchClient();
 }
 
-// A client that closes its connection while its request is held has gone.
+// A client that closes its connection while its request is held has gone. What it sent ahead waits for this
+// request's answer and is not read before: from then on its end is looked for at each sweep.
 void Session::WatchClient() {
+  unwatched_ = false;
   socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), of = request_](const Error& failed) {
     if (failed || !self->Holds() || self->request_ != of) return;
-    Error error;
-    char byte;
-    self->socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-    // The start of a next request: it waits for this one's answer, and is not looked at
-    // before.
-    if (!error || error == asio::error::would_block) return;
-    const auto owner = self->owner_;
-    self->Close();
-    owner->handler_.OnClientGone(of);
+    if (self->Gone()) return self->OnGone();
+    self->unwatched_ = true;
   });
 }
 
+void Session::LookForEnd() {
+  if (!Holds() || !unwatched_) return;
+  if (Gone()) return OnGone();
+  if (!upload_) ReadAhead();
+}
+
+// The client's end does not come through while what it sent ahead fills the system's buffers. What there is
+// room for here is kept for its turn. Of a client that sends more, all is thrown away, and its connection
+// ends with the answer that it waits for.
+void Session::ReadAhead() {
+  Error error;
+  for (std::size_t left = kMostAheadAtOnce; left > 0 && !error;) {
+    const std::size_t ahead = std::min(socket_.available(error), left);
+    if (ahead == 0) return;
+    const std::size_t room = last_ ? 0 : std::min(buffer_.max_size() - buffer_.size(), ahead);
+    if (room == 0 || !owner_->Reserve(room)) {
+      last_ = true;
+      rest_.resize(kMostDrainedAtOnce);
+      left -= std::min(left, socket_.read_some(asio::buffer(rest_), error));
+      continue;
+    }
+    reserved_ += room;
+    const std::size_t n = socket_.read_some(buffer_.prepare(room), error);
+    buffer_.commit(n);
+    left -= n;
+  }
+}
+
+// First the request is over, then its connection: a body that breaks off must not be sent anew.
+void Session::OnGone() {
+  const auto self = shared_from_this();
+  owner_->handler_.OnClientGone(request_);
+  Close();
+}
+
+bool Session::Gone() const {
+  if (state_ == State::kClosed) return true;
+  pollfd look{const_cast<Tcp::socket&>(socket_).native_handle(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
 // A client in error is not listened to any further: what follows may be the rest of what could not be read.
 void Session::TurnAway(http::status status, std::string text) {
   last_ = true;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -57,6 +57,10 @@
   void Refused(Duration retry_after) override;
   void Failed() override;
   void Rejected(boost::beast::http::status status) override;
+  bool Gone() const override;
+
+  // Looks whether the client has gone, where its end stands behind bytes that are not read yet.
+  void LookForEnd();
 
  private:
   static constexpr std::size_t kMostRequestHeader = 16 * 1024;
@@ -89,6 +93,8 @@
   void OnUnreadable(const Error& failed);
   void OnRead(Steady::time_point at);
   void WatchClient();
+  void OnGone();
+  void ReadAhead();
   void Over();
   void TurnAway(boost::beast::http::status status, std::string text);
   void NoMemory();
@@ -128,6 +134,7 @@
   Steady::time_point since_{}, until_{};  // of the state
   bool asked_ = false;                    // has sent a whole request
   bool read_whole_ = false;               // the request that is answered now
+  bool unwatched_ = false;                // its client's end shows only where it is looked for
   bool last_ = false;                     // the connection closes after this answer
 };
 
--- /dev/null
+++ b/tests/proxy/departures_test.cpp
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Clients that go while their requests wait: nothing begins for them any more, in whatever order the proxy
+// hears of it.
+#include <gtest/gtest.h>
+#include <sys/ioctl.h>
+
+#include <optional>
+
+#include "proxy.h"
+#include "support/late_listener.h"
+#include "support/loopback.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+// Far longer than a test is waited for: what ends in time does not end by a limit of the proxy's.
+constexpr double kFarOff = 600000;
+void TakeTime(Site& site) {
+  for (auto& c : site.config["settings"]["classes"]) c["goalTimeMs"] = c["deadlineMs"] = kFarOff;
+  site.config["settings"]["permissions"]["connectTimeoutMs"] = kFarOff;
+}
+
+std::size_t BackendConnections(Site& site) {
+  return site.proxy->Ask([](proxy::Proxy& p) { return p.backend_connections(); });
+}
+
+void WaitForAnAttempt(Site& site) {
+  while (BackendConnections(site) == 0) std::this_thread::yield();
+}
+
+TEST(Departures, AConnectionThatIsStillComingUpIsGivenUpWithItsClient) {
+  LateListener late;
+  Site site(Members(MemberJson("s-1", late.address)));
+  TakeTime(site);
+  site.Start();
+  {
+    Client client(site.proxy->address);
+    client.Send(Book());
+    WaitForAnAttempt(site);
+  }
+  EXPECT_TRUE(site.proxy->WaitUntilNothingIsHeld());
+  EXPECT_EQ(BackendConnections(site), 0u);
+}
+
+// A client that has gone is seen behind what it sent ahead, which nobody reads yet.
+TEST(Departures, AClientThatSentAheadIsSeenToGo) {
+  for (const std::string& ahead : {std::string("G"), Look(), std::string(200 * 1024, 'x')}) {
+    Site site(Members());  // nothing to send to: the request waits
+    TakeTime(site);
+    site.Start();
+    {
+      Client client(site.proxy->address);
+      client.Send(Book());
+      while (site.proxy->Ask([](proxy::Proxy& p) { return p.held(); }) == 0) std::this_thread::yield();
+      error_code full;
+      client.socket.non_blocking(true);
+      asio::write(client.socket, asio::buffer(ahead), full);  // as much as there is room for
+    }
+    EXPECT_TRUE(site.proxy->WaitUntilNothingIsHeld()) << ahead.size();
+  }
+}
+
+TEST(Departures, AClientThatSentAheadAndStaysIsAnsweredInOrder) {
+  Backend backend;
+  Site site(Members());
+  TakeTime(site);
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Book());
+  while (site.proxy->Ask([](proxy::Proxy& p) { return p.held(); }) == 0) std::this_thread::yield();
+  client.Send(WithId(Look(), "0c"));
+  site.discovery.Push(ListJson(42, true, Members(MemberJson("s-1", backend.address()))));
+  EXPECT_EQ(client.Read().result_int(), 200u);
+  EXPECT_EQ(client.Read().result_int(), 200u);
+  const auto requests = backend.seen.Get().requests;
+  ASSERT_EQ(requests.size(), 2u);
+  EXPECT_EQ(requests[0]["Req-Id"], "0b");
+  EXPECT_EQ(requests[1]["Req-Id"], "0c");
+}
+
+// The answer that would have it repeated, and then the client's end, in one turn of the loop.
+TEST(Departures, NoRepeatBeginsAheadOfTheNewsThatItsClientHasGone) {
+  Watched<bool> release, answered;
+  const auto decline = [&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, kDeclined);
+    answered.Do([](bool& a) { a = true; });
+    return true;
+  };
+  Backend one(decline), two(decline);
+  Site site(Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
+  TakeTime(site);
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Book());
+  const auto attempts = [&] { return one.seen.Get().requests.size() + two.seen.Get().requests.size(); };
+  while (attempts() == 0) std::this_thread::yield();
+  site.proxy->Ask([&](proxy::Proxy&) {  // the loop stands still meanwhile
+    release.Do([](bool& r) { r = true; });
+    answered.WaitFor([](bool a) { return a; });
+    client.socket.close();
+    return true;
+  });
+  EXPECT_TRUE(site.proxy->WaitUntilNothingIsHeld());
+  EXPECT_EQ(attempts(), 1u);
+  EXPECT_EQ(one.seen.Get().opened + two.seen.Get().opened, 1);
+}
+
+// One attempt that is wanted for as long as `wanted` says; what the server got of it, and how it ended.
+struct Ended {
+  proxy::AttemptResult result;
+  std::string received;
+};
+Ended Attempt(Duration hold, const proxy::Backends::Wanted& wanted) {
+  Watched<std::optional<std::string>> received;
+  Listener listener([&](Tcp::socket& socket) {
+    std::string all, some(4096, '\0');
+    error_code failed;
+    while (const std::size_t n = socket.read_some(asio::buffer(some), failed)) all.append(some, 0, n);
+    received.Do([&](auto& r) { r = all; });
+  });
+  asio::io_context io(1);
+  proxy::Backends backends(io, {});
+  backends.Set(1, listener.address, 0);
+  const auto message = std::make_shared<const HttpRequest>(http::verb::get, "/look", 11);
+  std::optional<proxy::AttemptResult> result;
+  backends.Send(
+      1, message, Duration(20000), hold, [&](proxy::AttemptResult r) { result = std::move(r); }, wanted);
+  while (!result) io.run_one();
+  received.WaitFor([](const auto& r) { return r.has_value(); });
+  return {std::move(*result), *received.Get()};
+}
+
+TEST(Departures, AConnectionThatComesUpForNobodyIsNotWrittenTo) {
+  const auto ended = Attempt(Duration(0), [] { return false; });
+  EXPECT_EQ(ended.result.outcome, Outcome::kMoot);  // it has not run
+  EXPECT_FALSE(ended.result.local);
+  EXPECT_EQ(ended.received, "");
+}
+
+TEST(Departures, TheLastByteOfAHeldRequestIsNotWrittenForNobody) {
+  int asked = 0;
+  const auto ended = Attempt(Duration(1), [&] { return ++asked == 1; });
+  EXPECT_EQ(ended.result.outcome, Outcome::kMoot);
+  EXPECT_TRUE(ended.received.ends_with("\r\n\r")) << ended.received;
+}
+
+// The server's end comes after the loop has found that the time of the last byte is there.
+TEST(Departures, AServerThatEndsInTheTurnOfTheLastByteHasNotRunIt) {
+  Watched<bool> all_but_last, close, closed;
+  Listener listener([&](Tcp::socket& socket) {
+    std::string all, some(4096, '\0');
+    error_code failed;
+    while (!all.ends_with("\r\n\r")) all.append(some, 0, socket.read_some(asio::buffer(some), failed));
+    all_but_last.Do([](bool& a) { a = true; });
+    close.WaitFor([](bool c) { return c; });
+    ::shutdown(socket.native_handle(), SHUT_RDWR);
+    closed.Do([](bool& c) { c = true; });
+  });
+  asio::io_context io(1);
+  proxy::Backends backends(io, {});
+  backends.Set(1, listener.address, 0);
+  const auto message = std::make_shared<const HttpRequest>(http::verb::get, "/look", 11);
+  std::optional<proxy::AttemptResult> result;
+  constexpr std::chrono::seconds kHold{1};
+  backends.Send(
+      1, message, Duration(20000), kHold, [&](proxy::AttemptResult r) { result = std::move(r); }, kWanted);
+  io.run_one();  // the connection is up, and all but the last byte written
+  ASSERT_TRUE(all_but_last.WaitFor([](bool a) { return a; }));
+  io.poll();  // that write has ended, and with it the timer of the last byte is set
+  const auto over = proxy::Steady::now() + kHold;
+  while (proxy::Steady::now() < over) std::this_thread::yield();
+  // Both timers are found in one turn; this one, due for longer, goes first.
+  asio::steady_timer first(io, proxy::Steady::now() - std::chrono::hours(1));
+  first.async_wait([&](const error_code&) {
+    close.Do([](bool& c) { c = true; });
+    closed.WaitFor([](bool c) { return c; });
+  });
+  while (!result) io.run_one();
+  EXPECT_EQ(result->outcome, Outcome::kConnectFailed);  // known not to have run
+  EXPECT_TRUE(result->broke);
+}
+
+// How long its client will wait is told as of when the request goes out.
+TEST(Departures, WhatIsLeftToTheClientIsToldAsOfTheWriteAndNotOfTheDecision) {
+  LateListener late;
+  Site site(Members(MemberJson("s-1", late.address)));
+  TakeTime(site);
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Post("book", "Req-Deadline-Ms: 500000\r\n"));
+  WaitForAnAttempt(site);
+  const auto seen = proxy::Steady::now();
+  while (proxy::Steady::now() < seen + std::chrono::milliseconds(200)) std::this_thread::yield();
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(proxy::Steady::now() - seen);
+  const std::string request = late.FirstBytes();
+  const std::size_t at = request.find("Req-Deadline-Ms: ");
+  ASSERT_NE(at, std::string::npos) << request;
+  EXPECT_LE(std::stoi(request.substr(at + 17)), 500000 - passed.count());
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -580,8 +580,8 @@
     results.push_back(std::move(r));
     release.Do([](bool& go) { go = true; });
   };
-  backends.Send(1, message, Duration(60000), Duration(0), keep);
-  backends.Send(1, message, Duration(60000), Duration(0), keep);
+  backends.Send(1, message, Duration(60000), Duration(0), keep, kWanted);
+  backends.Send(1, message, Duration(60000), Duration(0), keep, kWanted);
   while (results.size() < 2) io.run_one();
   EXPECT_EQ(results[0].outcome, Outcome::kMoot);  // never ran, and says nothing of the backend
   EXPECT_TRUE(results[0].local);
@@ -599,7 +599,8 @@
   message->body() = body;
   message->prepare_payload();
   std::optional<proxy::AttemptResult> result;
-  backends.Send(1, message, Duration(20000), hold, [&](proxy::AttemptResult r) { result = std::move(r); });
+  backends.Send(
+      1, message, Duration(20000), hold, [&](proxy::AttemptResult r) { result = std::move(r); }, kWanted);
   while (!result) io.run_one();
   return std::move(*result);
 }
@@ -682,8 +683,9 @@
   std::vector<proxy::AttemptResult> results;
   const auto ask = [&] {
     const auto before = results.size();
-    backends.Send(1, message, Duration(20000), Duration(0),
-                  [&](proxy::AttemptResult r) { results.push_back(std::move(r)); });
+    backends.Send(
+        1, message, Duration(20000), Duration(0),
+        [&](proxy::AttemptResult r) { results.push_back(std::move(r)); }, kWanted);
     while (results.size() == before) io.run_one();
   };
   ask();
--- a/tests/support/backend.h
+++ b/tests/support/backend.h
@@ -19,6 +19,8 @@
 inline std::string OkAnswer(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
+// Of an attempt: somebody waits for it to the end.
+inline const auto kWanted = [] { return true; };
 inline const char kDeclined[] = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
 
 class Backend {
