A call to discovery that hangs is given up in time for the next one within 6 s

Read line by line: Discovery::Stream gave a call as long as an open watch may be silent (4.5 s), then a pause of up to 1 s: one hung call, the pause and a call that waits its 2 s made 7.5 s. Where discovery is asked, Asking waited for half of mustAskInMs and paused for up to a quarter of it, whatever that is: a minute's setting gave 45 s.

Change: a call has 2.5 s to be answered, and the silence of a watch, counted from the call, to its first byte; the pause is 0.5 s at most. Asking waits 3 s and pauses 1.5 s at most. Tests: a listener that takes calls and never answers is called again (hangs without the mend), and the times themselves leave room for the next call.

--- a/src/fleet/asking.h
+++ b/src/fleet/asking.h
@@ -15,13 +15,16 @@
   using Duration = brackenspoke::Duration;
   using TimePoint = brackenspoke::TimePoint;
   static constexpr TimePoint kNever{Duration(1e300)};
+  // Whatever the rules allow after a call that failed or hung, what changed is to be known 6 s later: one
+  // that hangs and the pause after it leave room for the next.
+  static constexpr Duration kMostWait{3000}, kMostBackoff{1500};
 
   // `within`: the time in which the rules want a call.
   explicit Asking(Duration within) : within_(within) {}
 
   TimePoint due() const { return due_; }
   // Asked: an answer may never come.
-  void Asked(TimePoint now) { due_ = now + within_ / 2; }
+  void Asked(TimePoint now) { due_ = now + std::min(within_ / 2, kMostWait); }
   // `unit` draws from 0 to 1, where that is needed: after a failure there is a jittered backoff, from a
   // twentieth to a quarter of that time.
   template <typename Unit>
@@ -29,7 +32,7 @@
     if (kind == brackenspoke::ListKind::kCached) {
       due_ = now;  // a new life: nothing is subscribed yet
     } else if (kind == brackenspoke::ListKind::kFailed) {
-      backoff_ = std::min(within_ / 4, std::max(within_ / 20, backoff_ * 2));
+      backoff_ = std::min({within_ / 4, std::max(within_ / 20, backoff_ * 2), kMostBackoff});
       due_ = now + backoff_ * (0.5 + 0.5 * unit());
     } else {
       backoff_ = Duration(0);
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -23,7 +23,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostLine = 8 * 1024 * 1024;
-constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
+constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{500};
 
 }  // namespace
 
@@ -34,7 +34,8 @@
       : owner_(&owner), address_(address), whole_list_(whole_list_first), stream_(owner.io_) {}
 
   void Start() {
-    Extend();
+    called_at_ = std::chrono::steady_clock::now();
+    stream_.expires_after(owner_->options_.call);
     stream_.async_connect(address_, [self = shared_from_this()](const Error& failed) {
       if (!self->owner_) return;
       if (failed) return self->End(failed.message());
@@ -48,8 +49,6 @@
   }
 
  private:
-  void Extend() { stream_.expires_after(owner_->options_.silence); }
-
   void End(const std::string& why) {
     if (Discovery* owner = std::exchange(owner_, nullptr)) {
       stream_.close();
@@ -58,6 +57,7 @@
   }
 
   void Ask() {
+    spoke_ = false;
     request_.method(http::verb::get);
     request_.version(11);
     const std::string from = std::to_string(owner_->options_.revision);
@@ -87,11 +87,14 @@
     if (parser_->is_done()) return whole_list_ ? TakeWholeList() : End("the watch ended");
     parser_->get().body().data = piece_.data();
     parser_->get().body().size = piece_.size();
-    Extend();  // its heartbeat is data too
+    // Its heartbeat is data too; before the first byte it is a call yet.
+    const auto& silence = owner_->options_.silence;
+    spoke_ ? stream_.expires_after(silence) : stream_.expires_at(called_at_ + silence);
     http::async_read_some(stream_, buffer_, *parser_, [self = shared_from_this()](Error failed, std::size_t) {
       if (!self->owner_) return;
       if (failed == http::error::need_buffer) failed = {};
       const std::size_t got = self->piece_.size() - self->parser_->get().body().size;
+      self->spoke_ |= got > 0;
       if (!self->Take({self->piece_.data(), got})) return;
       if (failed) return self->End(failed.message());
       self->ReadSome();
@@ -104,7 +107,11 @@
     const std::string list = std::exchange(line_, {});
     if (!owner_->OnLine(this, list)) return End("a garbled list");
     whole_list_ = false;
-    if (open) return Ask();
+    if (open) {
+      called_at_ = std::chrono::steady_clock::now();
+      stream_.expires_after(owner_->options_.call);
+      return Ask();
+    }
     stream_.close();
     buffer_.clear();
     Start();
@@ -130,7 +137,9 @@
 
   Discovery* owner_;
   const asio::ip::tcp::endpoint address_;
-  bool whole_list_;  // is to be taken first
+  bool whole_list_;     // is to be taken first
+  bool spoke_ = false;  // something of the answer's body has come
+  std::chrono::steady_clock::time_point called_at_{};
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   http::request<http::empty_body> request_;
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -27,6 +27,9 @@
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
     std::chrono::milliseconds silence{4500};  // two of its heartbeats, and some
+    // For a call to come up and be answered: the service lets one wait for 2 s. Up to the first byte of what
+    // it says it has `silence`. What changes while a call hangs is to be known 6 s later.
+    std::chrono::milliseconds call{2500};
     std::uint64_t seed = 0;
   };
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 
+#include "fleet/asking.h"
 #include "support/loopback.h"
 
 namespace brackenspoke::testing {
@@ -311,6 +312,53 @@
   loop.join();
 }
 
+// What changes while a call hangs must not wait for as long as a watch may be silent.
+TEST(DiscoveryWatch, ACallThatIsTakenAndNotAnsweredIsGivenUpLongBeforeAWatchWouldBe) {
+  Watched<int> calls;
+  Listener hangs([&](Tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    HttpRequest request;
+    error_code failed;
+    http::read(socket, buffer, request, failed);
+    if (!failed) calls.Do([](int& n) { ++n; });
+    char byte;
+    asio::read(socket, asio::buffer(&byte, 1), failed);  // until it is given up
+  });
+  asio::io_context io(1);
+  proxy::Discovery::Options options;
+  options.address = hangs.address;
+  options.silence = std::chrono::hours(1);
+  options.call = std::chrono::milliseconds(50);
+  proxy::Discovery discovery(
+      io, options, [](const proxy::MemberList&) {}, [] {});
+  discovery.Watch();
+  std::thread loop([&] { io.run(); });
+  EXPECT_TRUE(calls.WaitFor([](int n) { return n >= 3; }));
+  io.stop();
+  loop.join();
+}
+
+// Six seconds hold one call that hangs, the longest pause after it, and the next call's wait of 2 s. A watch
+// that falls silent is found out in time for one call more.
+TEST(DiscoveryWatch, ItsTimesLeaveRoomForTheNextCall) {
+  using std::chrono::milliseconds;
+  const proxy::Discovery::Options options;
+  EXPECT_LE(options.call + milliseconds(500) + milliseconds(2000), milliseconds(6000));
+  EXPECT_LT(options.silence + milliseconds(500), milliseconds(6000));
+  for (const double within : {500.0, 4000.0, 60000.0}) {
+    kestrelline::fleet::Asking asking{Duration(within)};
+    const TimePoint now{Duration(1000)};
+    asking.Asked(now);
+    const auto hung = asking.due();
+    Duration pause{0};
+    for (int i = 0; i < 20; ++i) {
+      asking.OnList(ListKind::kFailed, hung, [] { return 1.0; });
+      pause = std::max(pause, asking.due() - hung);
+    }
+    EXPECT_LE((hung - now) + pause, Duration(4500)) << within;
+  }
+}
+
 TEST(DiscoveryWatch, WhereItMustBeAskedAFailureIsReportedAndNotMended) {
   Tcp::endpoint nobody;
   {
