The end of the process: queue taken, last answers outlived, reloads at the start kept

Read line by line, each with a test on real connections in tests/proxy/endings_test.cpp that forces the order: - Clients::LookWhetherOver closed the listener with connections in the system's queue: their requests ended with a reset. The queue is taken first (a listener that others have too is left as it is). - It did not wait for connections whose last answer was written and whose clients had not closed: the exit closed them, over unread bytes with a reset that may overtake the answer. Ruled out: an accept that completes in the turn of the close (its operation runs before timers of that turn).

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -51,10 +51,10 @@
 // What SIGHUP does: both files and all plug-ins are taken over, or none of them.
 class Reloads {
  public:
-  // `peers`: null for none.
-  Reloads(boost::asio::io_context& io, brackenspoke::proxy::Proxy& proxy, plugin::Host& host,
+  // `signals`: SIGHUP, caught for so long that none is missed. `peers`: null for none.
+  Reloads(boost::asio::signal_set& signals, brackenspoke::proxy::Proxy& proxy, plugin::Host& host,
           kestrelline::peers::Link* peers, std::string file)
-      : signals_(io, SIGHUP), proxy_(proxy), host_(host), peers_(peers), file_(std::move(file)) {
+      : signals_(signals), proxy_(proxy), host_(host), peers_(peers), file_(std::move(file)) {
     Await();
   }
 
@@ -104,7 +104,7 @@
     std::fprintf(stderr, "kestrelline: the old configuration stays: %s\n", why);
   }
 
-  boost::asio::signal_set signals_;
+  boost::asio::signal_set& signals_;
   brackenspoke::proxy::Proxy& proxy_;
   plugin::Host& host_;
   kestrelline::peers::Link* peers_;
@@ -181,8 +181,9 @@
 int Serve(const app::Command& command) {
   try {
     boost::asio::io_context io(1);
-    // Caught from before the proxy listens: one that is ready must not die of a signal.
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT), held(io, SIGHUP);
+    // Caught from before the configuration is read: one that is ready must not die of a signal, and a reload
+    // that comes while it starts holds too.
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reload(io, SIGHUP);
     auto config = brackenspoke::proxy::LoadConfig(Environment);
     plugin::Host host(io, {command.plugin_worker, [](const std::string& line) {
                              std::fprintf(stderr, "kestrelline: %s\n", line.c_str());
@@ -210,7 +211,7 @@
     ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
     });
-    const Reloads reloads(io, proxy, host, fleet.peers.get(), command.operator_file);
+    const Reloads reloads(reload, proxy, host, fleet.peers.get(), command.operator_file);
     Run(io);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "kestrelline: %s\n", error.what());
--- a/src/lifecycle/life.cpp
+++ b/src/lifecycle/life.cpp
@@ -66,8 +66,9 @@
   return Since(now) >= from + std::chrono::duration_cast<Span>((to - from) * PlaceOf(serial));
 }
 
-bool Life::EndsHalfRead(Time now) const {
-  return Leaving() && Since(now) >= (stopping_ ? times_.stop_half : times_.drain_half);
+bool Life::EndsHalfRead(Time now, Time read_since) const {
+  return Leaving() && now - read_since >= times_.fresh &&
+         Since(now) >= (stopping_ ? times_.stop_half : times_.drain_half);
 }
 
 }  // namespace kestrelline::lifecycle
--- a/src/lifecycle/life.h
+++ b/src/lifecycle/life.h
@@ -38,7 +38,7 @@
   Ms stop_accepting{600};
   Ms stop_from{350}, stop_to{600};
   Ms stop_half{1100};
-  Ms fresh{150};  // a connection that has stood for less is about to ask
+  Ms fresh{150};  // a connection that has stood for less is about to ask, or has asked
 };
 
 // What became of a command.
@@ -69,8 +69,9 @@
   // Whether a connection with no request on it since `idle_since` ends by now. `serial`: its number, which
   // spreads them.
   bool EndsIdle(Time now, Time idle_since, std::uint64_t serial) const;
-  // The same of one on which half a request has come.
-  bool EndsHalfRead(Time now) const;
+  // The same of one on which half a request has come since then: where all is late here, its rest may have
+  // been there for long.
+  bool EndsHalfRead(Time now, Time read_since) const;
 
  private:
   bool servable() const { return listed_ && copied_; }
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -64,15 +64,31 @@
     accepting_ = false;
     // Guards against spinning when descriptors run out: the queue stays readable all the while.
     if (failed) return AcceptLater();
-    if (sessions_.empty()) Sweep();
-    sessions_.push_back(std::make_shared<Session>(*this, std::move(socket), ++last_serial_));
-    const auto session = sessions_.back();
-    session->place = std::prev(sessions_.end());
-    session->Start();
+    Take(std::move(socket));
     Accept();
   });
 }
 
+void Clients::Take(Tcp::socket socket) {
+  if (sessions_.empty()) Sweep();
+  sessions_.push_back(std::make_shared<Session>(*this, std::move(socket), ++last_serial_));
+  const auto session = sessions_.back();
+  session->place = std::prev(sessions_.end());
+  session->Start();
+}
+
+// Connections that the system has accepted may have their requests on them; the listener's end would reset
+// them.
+void Clients::TakeQueue() {
+  Error none_left;
+  acceptor_.non_blocking(true, none_left);
+  while (!none_left && (sessions_.size() < places_.most() || MakeRoom())) {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, none_left);
+    if (!none_left) Take(std::move(socket));
+  }
+}
+
 void Clients::AcceptLater() {
   MakeRoom();
   pause_.expires_after(kPause);
@@ -93,20 +109,22 @@
   return true;
 }
 
-// Gives up the connection that has stood idle for the longest; failing that, the oldest of those that never
-// said anything. Those that are fresh stay, since their request may be on its way.
+// Gives up the connection whose client has been slowest to close after its last answer; failing that, the one
+// that has stood idle for the longest, or the oldest of those that never said anything. Those that are fresh
+// stay, since their request may be on its way.
 bool Clients::MakeRoom() {
   const auto now = Steady::now();
-  auto found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
-    return session->SpareSince(now - config_.patience.spare);
-  });
-  if (found == sessions_.end()) {
-    found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
-      return session->SilentSince(now - config_.patience.silent);
-    });
-  }
-  if (found == sessions_.end()) return false;
-  const auto session = *found;
+  const auto& patience = config_.patience;
+  std::shared_ptr<Session> session;
+  const auto find = [&](const auto& may_go) {
+    if (session) return;
+    const auto found = std::find_if(sessions_.begin(), sessions_.end(), may_go);
+    if (found != sessions_.end()) session = *found;
+  };
+  find([&](const auto& s) { return s->EndingSince(now - patience.silent); });
+  find([&](const auto& s) { return s->SpareSince(now - patience.spare); });
+  find([&](const auto& s) { return s->SilentSince(now - patience.silent); });
+  if (!session) return false;
   const bool waiting = std::exchange(waiting_for_room_, false);  // whoever asks goes on by itself
   session->Close();
   waiting_for_room_ = waiting;
@@ -145,11 +163,14 @@
   if (life_.Stopping()) LookWhetherOver();
 }
 
-// Looks again until nothing is accepted, no answer is owed and no request is half read.
+// Looks again until nothing is accepted, no answer is owed or on its way to a client that has not closed yet,
+// and no request is half read. The end of the process closes what is open, and a close over unread bytes
+// resets it.
 void Clients::LookWhetherOver() {
   const auto now = Steady::now();
   const bool accepts = life_.Accepts(now);
   if (!accepts && acceptor_.is_open()) {
+    if (config_.inherited_listener < 0) TakeQueue();
     Error ignored;
     acceptor_.close(ignored);  // never shut down: where it was inherited, its queue is others' too
   }
@@ -157,7 +178,7 @@
   for (auto it = sessions_.begin(); it != sessions_.end();) {
     const auto session = *it++;
     session->EndIfLeaving(now);
-    wait |= session->Reading() || session->Owes();
+    wait |= session->Reading() || session->Owes() || session->Ending();
   }
   if (!wait) return stopped_ ? stopped_() : void();
   over_.expires_after(kLookAgain);
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -84,6 +84,8 @@
   friend class Session;
 
   void Accept();
+  void Take(boost::asio::ip::tcp::socket socket);
+  void TakeQueue();
   void AcceptLater();
   bool MakeRoom();
   bool PlacesRunShort() const;
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -79,7 +79,7 @@
   const auto& life = owner_->life_;
   if (state_ == State::kWaiting) {
     if (life.EndsIdle(now, since_, serial_) && Idle()) Close();
-  } else if (state_ == State::kReading && life.EndsHalfRead(now)) {
+  } else if (state_ == State::kReading && life.EndsHalfRead(now, since_)) {
     Error ignored;
     socket_.cancel(ignored);
     TurnAway(http::status::service_unavailable, "this proxy takes nothing new; trying again is harmless");
@@ -431,19 +431,16 @@
   Write(Plain(status, std::move(text) + '\n'));
 }
 
-// Whether the connection is ended to make room.
-bool Session::BeginAnswer(Steady::duration at_most) {
+void Session::BeginAnswer(Steady::duration at_most) {
   Enter(State::kWriting, at_most);
   const bool whole = std::exchange(read_whole_, false);
   if (const auto upload = std::exchange(upload_, nullptr)) upload->OnWant(nullptr);
   if (!whole) last_ = true;  // what follows is the rest of what nobody wants
   // A client that keeps its connection and asks no more would hold the place for `spare`, against ever-new
   // clients that wait in the kernel's queue until their time is up (incident rf19165).
-  const bool shed = whole && !last_ && owner_->PlacesRunShort();
-  last_ |= owner_->life_.Leaving() || shed;
+  last_ |= owner_->life_.Leaving() || owner_->PlacesRunShort();
   Error ignored;
   socket_.cancel(ignored);  // the watch for the client's end
-  return shed;
 }
 
 void Session::NoMemory() {
@@ -456,7 +453,7 @@
   if (const auto target = head_.target(); class_ < 0 && !target.empty())
     class_ = ClassOf({target.data(), target.size()}, owner_->config_);
   owner_->figures_.OnEnded(class_, EndingOf(response_.result()));
-  shed_ = BeginAnswer(patience().answer_taken);
+  BeginAnswer(patience().answer_taken);
   response_.keep_alive(!last_);
   response_.prepare_payload();
   if (head_only_) response_.body().clear();  // its length stays said (RFC 9110, 9.3.2)
@@ -469,14 +466,14 @@
 
 void Session::AfterAnswer(bool failed) {
   Over();
-  if (failed || (shed_ && NothingUnread())) return Close();
+  if (failed) return Close();
   if (last_) return CloseGently();
   Wait(patience().kept);
   if (owner_->waiting_for_room_) owner_->Accept();
 }
 
 void Session::Pass(HttpResponse head, std::shared_ptr<BodySource> rest, std::optional<std::uint64_t> length) {
-  shed_ = BeginAnswer(kMostStall);
+  BeginAnswer(kMostStall);
   source_ = std::move(rest);
   chunked_ = !length && !old_;
   if (length) {
@@ -534,12 +531,8 @@
   Close();
 }
 
-bool Session::NothingUnread() const {
-  Error error;
-  return buffer_.size() == 0 && socket_.available(error) == 0;
-}
-
-// Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
+// Guards against a reset overtaking the answer: with unread input left, or input that comes later, a plain
+// close would send one.
 void Session::CloseGently() {
   Enter(State::kDraining, patience().drained);
   Error ignored;
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -41,6 +41,9 @@
   bool Holds() const { return state_ == State::kHeld; }
   // Owes an answer, or the rest of one.
   bool Owes() const { return Holds() || state_ == State::kWriting; }
+  // Its last answer is written; the client has not closed yet.
+  bool Ending() const { return state_ == State::kDraining; }
+  bool EndingSince(Steady::time_point at) const { return Ending() && since_ <= at; }
   // For how long it has been without a request, of one that asked before.
   bool SpareSince(Steady::time_point at) const { return asked_ && since_ <= at && Idle(); }
   bool SilentSince(Steady::time_point at) const { return !asked_ && since_ <= at && Idle(); }
@@ -99,14 +102,13 @@
   void TurnAway(boost::beast::http::status status, std::string text);
   void NoMemory();
   void Write(HttpResponse response);
-  bool BeginAnswer(Steady::duration at_most);
+  void BeginAnswer(Steady::duration at_most);
   void AfterAnswer(bool failed);
   // An answer that passes in pieces.
   void Pass(HttpResponse head, std::shared_ptr<BodySource> rest, std::optional<std::uint64_t> length);
   void AddPiece(std::string_view bytes, bool last);
   void WritePassing();
   void BreakOff();
-  bool NothingUnread() const;
   void CloseGently();
   void Drain();
 
@@ -126,7 +128,7 @@
   std::shared_ptr<BodySource> source_;  // of the answer that passes
   std::string out_;                     // of it, that is being written
   std::size_t written_ = 0;             // of out_
-  bool chunked_ = false, out_last_ = false, shed_ = false;
+  bool chunked_ = false, out_last_ = false;
   bool head_only_ = false, old_ = false;  // the request's method is HEAD; its version is 1.0
   std::vector<char> rest_;                // what is read and not looked at, once the last answer is written
   std::size_t drained_ = 0, reserved_ = 0, empty_lines_ = 0;
--- a/tests/lifecycle/life_test.cpp
+++ b/tests/lifecycle/life_test.cpp
@@ -99,17 +99,25 @@
 TEST(Life, HalfARequestMayStayLongerAndEndsBeforeTheFourSecondsLookBack) {
   Life life;
   life.Listed();
-  EXPECT_FALSE(life.EndsHalfRead(After(100000)));
+  EXPECT_FALSE(life.EndsHalfRead(After(100000), kStart));
   life.Drain(kStart);
-  EXPECT_FALSE(life.EndsHalfRead(After(1899)));
-  EXPECT_TRUE(life.EndsHalfRead(After(1900)));
+  EXPECT_FALSE(life.EndsHalfRead(After(1899), kStart));
+  EXPECT_TRUE(life.EndsHalfRead(After(1900), kStart));
   life.Drain(After(1800));  // again: its times go on from the first
-  EXPECT_TRUE(life.EndsHalfRead(After(1900)));
+  EXPECT_TRUE(life.EndsHalfRead(After(1900), kStart));
   life.Resume();
-  EXPECT_FALSE(life.EndsHalfRead(After(1900)));
+  EXPECT_FALSE(life.EndsHalfRead(After(1900), kStart));
   life.Stop(After(5000));
-  EXPECT_FALSE(life.EndsHalfRead(After(6099)));
-  EXPECT_TRUE(life.EndsHalfRead(After(6100)));
+  EXPECT_FALSE(life.EndsHalfRead(After(6099), kStart));
+  EXPECT_TRUE(life.EndsHalfRead(After(6100), kStart));
+}
+
+TEST(Life, WhatHasJustBegunToComeIsNotHalfARequestYet) {
+  Life life;
+  life.Listed();
+  life.Stop(kStart);
+  EXPECT_FALSE(life.EndsHalfRead(After(3149), After(3000)));
+  EXPECT_TRUE(life.EndsHalfRead(After(3150), After(3000)));
 }
 
 TEST(Life, AListenerOfItsOwnTakesWhatComesUntilTheFrontHasNoticed) {
--- /dev/null
+++ b/tests/proxy/endings_test.cpp
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The end of the process, and of connections, while bytes are on their way.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include "proxy.h"
+#include "support/loopback.h"
+#include "support/process.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+// What the system has accepted by the time the listener closes is answered; a loop that was busy until then
+// has not seen it yet.
+TEST(Endings, ConnectionsInTheQueueAreTakenBeforeTheListenerCloses) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  std::vector<std::unique_ptr<Client>> clients;
+  std::promise<void> over;
+  site.proxy->Ask([&](proxy::Proxy& p) {  // the loop stands still meanwhile
+    p.Stop([&] { over.set_value(); });
+    for (int i = 0; i < 4; ++i) {
+      clients.push_back(std::make_unique<Client>(site.proxy->address));
+      clients.back()->Send(WithId(Look(), std::to_string(i)));
+    }
+    const auto late = proxy::Steady::now() + 2 * kestrelline::lifecycle::Times().stop_accepting;
+    while (proxy::Steady::now() < late) std::this_thread::yield();
+    return true;
+  });
+  // Each has its answer; the module may refuse some of so many at once.
+  for (const auto& client : clients) {
+    const unsigned status = client->Read().result_int();
+    EXPECT_TRUE(status == 200 || status == 503) << status;
+  }
+  clients.clear();
+  EXPECT_EQ(over.get_future().wait_for(kGiveUp), std::future_status::ready);
+}
+
+// The end of the process closes what is open; over unread bytes that is a reset, which may overtake the
+// answer.
+TEST(Endings, TheProcessOutlivesItsLastAnswersUntilTheirClientsHaveClosed) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("last"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.drained = std::chrono::minutes(1);
+  site.Start();
+  auto client = std::make_unique<Client>(site.proxy->address);
+  client->Send(Look());
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  auto stopped = site.proxy->Stop();
+  release.Do([](bool& r) { r = true; });
+  const auto answer = client->Read();
+  EXPECT_EQ(answer.body(), "last");
+  EXPECT_FALSE(answer.keep_alive());
+  // Longer than it goes on accepting.
+  EXPECT_EQ(stopped.wait_for(2 * kestrelline::lifecycle::Times().stop_accepting),
+            std::future_status::timeout);
+  client.reset();
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+}
+
+// Where places run short an answer ends its connection; what the client sends behind it finds no closed
+// socket, whose reset would go for the answer too.
+TEST(Endings, AConnectionThatEndsForWantOfPlacesIsNotReset) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;
+  site.patience.drained = std::chrono::minutes(1);
+  site.Start();
+  std::vector<std::unique_ptr<Client>> idle;
+  for (int i = 0; i < 20; ++i) idle.push_back(std::make_unique<Client>(site.proxy->address));
+  Client client(site.proxy->address);
+  client.Send(Look());
+  const auto answer = client.Read();
+  EXPECT_EQ(answer.result_int(), 200u);
+  ASSERT_FALSE(answer.keep_alive());
+  error_code failed;
+  asio::write(client.socket, asio::buffer("G", 1), failed);
+  EXPECT_FALSE(failed);
+  EXPECT_TRUE(client.Ended());
+  asio::write(client.socket, asio::buffer("E", 1), failed);
+  EXPECT_FALSE(failed) << failed.message();  // a reset would have come with the one before
+}
+
+// A file that is read only when the test writes it: what comes meanwhile comes in the middle of the start.
+class Fifo {
+ public:
+  Fifo() {
+    char name[] = "/tmp/kestrelline-test-XXXXXX";
+    if (!mkdtemp(name)) throw std::runtime_error("no folder");
+    folder_ = name;
+    path = folder_ + "/config.json";
+    if (mkfifo(path.c_str(), 0600) != 0) throw std::runtime_error("no fifo");
+  }
+  ~Fifo() { std::filesystem::remove_all(folder_); }
+
+  // Once somebody reads; then `meanwhile`, then the text. False if nobody does.
+  bool Write(
+      const std::string& text, const std::function<void()>& meanwhile = [] {}) const {
+    const auto until = std::chrono::steady_clock::now() + kGiveUp;
+    int file;
+    while ((file = open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) < 0) {
+      if (std::chrono::steady_clock::now() > until) return false;
+      std::this_thread::yield();
+    }
+    meanwhile();
+    const bool written = write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+    close(file);
+    return written;
+  }
+
+  std::string path;
+
+ private:
+  std::string folder_;
+};
+
+bool WaitUntilItListens(const Tcp::endpoint& address) {
+  const auto until = std::chrono::steady_clock::now() + kGiveUp;
+  asio::io_context io;
+  while (std::chrono::steady_clock::now() < until) {
+    Tcp::socket socket(io);
+    error_code refused;
+    socket.connect(address, refused);
+    if (!refused) return true;
+    std::this_thread::yield();
+  }
+  return false;
+}
+
+TEST(Endings, AReloadThatIsAskedForInTheMiddleOfTheStartHolds) {
+  Backend before("before"), after("after");
+  FakeDiscovery here, there;
+  there.SetWhole(ListJson(7, true, Members(MemberJson("s-2", after.address()))));
+  const Fifo file;
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
+  const auto config = [](const FakeDiscovery& discovery, const Backend& backend) {
+    return ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump();
+  };
+  ASSERT_TRUE(file.Write(config(here, before), [&] { child.Signal(SIGHUP); }));
+  ASSERT_TRUE(WaitUntilItListens(address));  // the file has been read to its end
+  ASSERT_TRUE(file.Write(config(there, before)));
+  ASSERT_TRUE(there.WaitForWatches(1));
+  Client client(address);
+  EXPECT_EQ(client.Ask(Look()).body(), "after");
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
