A server that drains gets no first byte on a connection that comes up later

Backends::Retire ends attempts with nothing written, after the news have reached the module, and a connection that comes up is looked at once more; both go elsewhere as attempts that never ran. The test holds a connection back by a full listener, drains its server and sees the request served by another; without the mend it waits for ever.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -42,6 +42,17 @@
   ++found->second.generation;
   found->second.usable = false;
   CloseIdle(server);
+  if (found->second.live == 0) return;
+  for (const auto& [key, weak] : live_) {
+    const auto connection = weak.lock();
+    if (connection && connection->server() == server) connection->AbandonUnwritten();
+  }
+}
+
+bool Backends::IsCurrent(const Connection& connection) const {
+  const auto found = backends_.find(connection.server());
+  return found != backends_.end() && found->second.usable &&
+         found->second.generation == connection.generation();
 }
 
 void Backends::RetireOthers(const std::unordered_set<ServerId>& named) {
@@ -130,11 +141,8 @@
 }
 
 void Backends::Keep(const std::shared_ptr<Connection>& connection) {
-  const auto found = backends_.find(connection->server());
-  if (found == backends_.end()) return connection->Close();
-  Backend& backend = found->second;
-  if (!backend.usable || backend.generation != connection->generation()) return connection->Close();
-  backend.idle.push_back(connection);
+  if (!IsCurrent(*connection)) return connection->Close();
+  backends_.at(connection->server()).idle.push_back(connection);
   connection->WatchIdle(limits_.conn_idle * kIdleShare);
 }
 
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -73,7 +73,8 @@
 
   // Where a backend listens now, and since when it runs. Idle connections to what has moved or restarted go.
   void Set(ServerId server, const boost::asio::ip::tcp::endpoint& address, double up_since);
-  // Nothing new will go there: idle connections go, and so do those in use when their answers are in.
+  // Nothing new will go there: idle connections go, attempts with nothing written are over, and connections
+  // in use go when their answers are in.
   void Retire(ServerId server);
   // All but those that a complete list names.
   void RetireOthers(const std::unordered_set<ServerId>& named);
@@ -108,6 +109,8 @@
     std::size_t live = 0;                           // connections, in use and idle
   };
 
+  // Whether it leads to what the list says of its server now.
+  bool IsCurrent(const Connection& connection) const;
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
   bool CloseOldestIdle();
   void Keep(const std::shared_ptr<Connection>& connection);
--- a/src/proxy/connection.cpp
+++ b/src/proxy/connection.cpp
@@ -63,7 +63,7 @@
       self->local_ = IsLocal(failed);
       return self->Finish(self->local_ ? Outcome::kMoot : Outcome::kConnectFailed);
     }
-    if (!self->still_wanted_()) return self->Finish(Outcome::kMoot);
+    if (!self->still_wanted_() || !self->owner_->IsCurrent(*self)) return self->Finish(Outcome::kMoot);
     self->SetTimer(self->deadline_);
     // What speaks before it is asked will not answer what it is asked.
     if (!self->Quiet()) return self->Finish(Outcome::kConnectFailed);
@@ -99,6 +99,11 @@
   if (done_ && use == use_ && !written_) Finish(Outcome::kMoot);
 }
 
+void Connection::AbandonUnwritten() {
+  if (!done_ || first_byte_ != Steady::time_point()) return;
+  asio::post(owner_->io_, [self = shared_from_this(), use = use_] { self->Abandon(use); });
+}
+
 void Connection::FinishSoon(Outcome outcome) {
   local_ = outcome == Outcome::kMoot;
   asio::post(owner_->io_, [self = shared_from_this(), outcome] { self->Finish(outcome); });
--- a/src/proxy/connection.h
+++ b/src/proxy/connection.h
@@ -35,6 +35,8 @@
               Duration hold, AttemptDone done, Backends::Wanted wanted);
   std::uint64_t use() const { return use_; }
   void Abandon(std::uint64_t use);
+  // Its server is to get nothing new. The result comes from the event loop: the news go first.
+  void AbandonUnwritten();
   void Reuse();
   // An attempt that ends before it has begun; its result still comes from the event loop.
   void FinishSoon(Outcome outcome);
--- a/tests/proxy/departures_test.cpp
+++ b/tests/proxy/departures_test.cpp
@@ -43,6 +43,24 @@
   EXPECT_EQ(BackendConnections(site), 0u);
 }
 
+// The same of a server that is to get nothing new while the connection to it comes up.
+TEST(Departures, AnAttemptGoesElsewhereWhenItsServerDrainsBeforeItsFirstByte) {
+  LateListener late;
+  Backend other;
+  Site site(Members(MemberJson("s-1", late.address)));
+  TakeTime(site);
+  site.Start();
+  ASSERT_TRUE(site.discovery.WaitForWatches(1));
+  Client client(site.proxy->address);
+  client.Send(Book());
+  WaitForAnAttempt(site);
+  site.discovery.Push(
+      ListJson(42, false,
+               Members(MemberJson("s-1", late.address, "terminating"), MemberJson("s-2", other.address()))));
+  EXPECT_EQ(client.Read().result_int(), 200u);
+  EXPECT_EQ(other.seen.Get().requests.size(), 1u);
+}
+
 // A client that has gone is seen behind what it sent ahead, which nobody reads yet.
 TEST(Departures, AClientThatSentAheadIsSeenToGo) {
   for (const std::string& ahead : {std::string("G"), Look(), std::string(200 * 1024, 'x')}) {
