A keyed repeat does not begin after the window that permitted it

Found while retries were read: Attempts::Permitted checks the window when it decides; the attempt begins when its connection is up, up to connectTimeoutMs later, and the tenth of the window that is kept as a margin is less than that where windows are short (2 s and 250 ms: 1.8 + 0.25 s). A server that has dropped the key runs it again.

The module now says with the attempt until when it may begin (Dispatch::begin_by, from Permission::by: the window of what ran first, and claims of other proxies); the proxy asks at the write and after a claim was waited for. The test resets a first attempt and lets the repeat's connection come up when the window is over: without the mend it is written.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -206,8 +206,9 @@
 struct Dispatch {
   RequestId request = 0;
   ServerId server = 0;
-  Duration timeout{0};     // 0: until the client gives up
-  int zone = 0, cell = 0;  // where the server stands
+  Duration timeout{0};                  // 0: until the client gives up
+  int zone = 0, cell = 0;               // where the server stands
+  TimePoint begin_by{Duration(1e300)};  // its last byte is not sent after this: what permits it ends then
 };
 struct Refuse {  // final; tells the client that another try is harmless
   RequestId request = 0;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -69,7 +69,7 @@
     r.finished = true;
   }
 
-  void Send(Request& r, Server& s) {
+  void Send(Request& r, Server& s, const Permission& may) {
     const bool first = r.attempts.empty();
     attempts_.Sent(first);
     const Duration timeout = attempts_.TimeoutOf(r, s);
@@ -81,8 +81,8 @@
     attempt.sent_at = now_;
     r.attempts.push_back(attempt);
     if (!r.passing) Begin(r, s);
-    out_->push_back(
-        Dispatch{r.id, state_.EntryOf(s).server, timeout, state_.EntryOf(s).zone, state_.EntryOf(s).cell});
+    out_->push_back(Dispatch{r.id, state_.EntryOf(s).server, timeout, state_.EntryOf(s).zone,
+                             state_.EntryOf(s).cell, may.by});
     if (r.limits) NoteSent(r, first);
   }
 
@@ -230,7 +230,7 @@
     r.copying = true;
     const Permission may = attempts_.Permitted(r);
     Server* s = may.dispatch && admission_.Fits(cold_.listed()) ? picking_.Pick(r, may) : nullptr;
-    if (s && !picking_.Last(r, *s) && routes_.Take(now_, *r.limits)) Send(r, *s);
+    if (s && !picking_.Last(r, *s) && routes_.Take(now_, *r.limits)) Send(r, *s, may);
     r.copying = false;
   }
 
@@ -327,7 +327,7 @@
     Server* s = may.dispatch && admission_.Fits(cold_.listed()) ? picking_.Pick(r, may) : nullptr;
     if (s) {
       Unhold(r);
-      Send(r, *s);
+      Send(r, *s, may);
       return true;
     }
     if (!may.dispatch || now_ >= r.refuse_at) {
--- a/src/measures.h
+++ b/src/measures.h
@@ -212,6 +212,7 @@
   bool dispatch = false;
   bool refuse = false;
   std::optional<Location> group_of;  // if set: only to servers that drop the repeats of those there
+  TimePoint by{Duration(1e300)};     // and only so long as they do
 };
 
 // ---- what is kept of requests --------------------------------------------------------------------------
--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -34,13 +34,14 @@
     may.refuse = true;
     if ((!first_run && !r.claims) || c.effect == Effect::kSafe) return may;
     may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
-    if (c.effect == Effect::kUnsafe || (first_run && at - first_run->sent_at > c.window * kWindowMargin))
-      may.dispatch = false;
+    if (first_run) may.by = first_run->sent_at + c.window * kWindowMargin;
+    if (c.effect == Effect::kUnsafe || at > may.by) may.dispatch = false;
     // Where another try of its key may have run binds it as what it ran itself: only what all of it permits.
     const Location place = first_run ? state_.LocationOf(first_run->server)
                                      : Location{r.claims->front().zone, r.claims->front().cell};
     for (std::size_t i = 0; r.claims && i < r.claims->size(); ++i) {
       const KeyClaim& claim = (*r.claims)[i];
+      may.by = std::min(may.by, claim.until);
       may.dispatch &= at < claim.until && InGroup(c.group, place, {claim.zone, claim.cell});
     }
     if (may.dispatch) may.group_of = place;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -108,6 +108,7 @@
     std::shared_ptr<const HttpRequest> message;
     std::shared_ptr<Upload> upload;  // its body, where that is passed on as it comes
     Steady::time_point due{};
+    Steady::time_point begin_by{};         // of the attempt sent last: see Dispatch
     std::shared_ptr<Responder> responder;  // null once answered
     std::size_t request_class = 0;
     int attempts = 0;
--- a/src/proxy/requests.cpp
+++ b/src/proxy/requests.cpp
@@ -168,7 +168,8 @@
   const auto found = pending_.find(action.request);
   if (found == pending_.end()) return;
   Pending& pending = found->second;
-  const bool late = !Wanted(pending) || Steady::now() >= pending.due;
+  const auto now = Steady::now();
+  const bool late = !Wanted(pending) || now >= pending.due || now > clock_.ToSteady(action.begin_by);
   if (go == Go::kSend && !late) return SendAttempt(action, attempt);
   const Keyed keyed = *pending.keyed;
   if (go == Go::kSend) claims_->After(keyed.key, keyed.groups[static_cast<std::size_t>(attempt)], false);
@@ -192,6 +193,7 @@
   const auto now = Steady::now();
   Duration timeout = pending.upload ? Duration(pending.upload->deadline()) : pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
+  pending.begin_by = clock_.ToSteady(action.begin_by);
   const ClassSettings& c = config_.settings.classes[pending.request_class];
   const Duration hold = last_byte_.WaitFor(clock_.At(now), c.effect, c.aim);
   pending.sent.push_back(backends_->Send(
@@ -201,7 +203,7 @@
       },
       [this, id = action.request] {
         const auto found = pending_.find(id);
-        return found != pending_.end() && Wanted(found->second);
+        return found != pending_.end() && Wanted(found->second) && Steady::now() <= found->second.begin_by;
       },
       pending.upload));
 }
--- a/tests/proxy/departures_test.cpp
+++ b/tests/proxy/departures_test.cpp
@@ -125,6 +125,35 @@
   EXPECT_EQ(one.seen.Get().opened + two.seen.Get().opened, 1);
 }
 
+// A repeat that the window permitted when it was decided, on a connection that comes up when the window is
+// over.
+TEST(Departures, AKeyedRepeatDoesNotBeginAfterItsWindow) {
+  LateListener late;
+  Watched<bool> release;
+  Backend first([&](Tcp::socket&, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    return false;  // it may have run
+  });
+  Site site(Members(MemberJson("s-1", first.address())));
+  TakeTime(site);
+  constexpr std::chrono::milliseconds kWindow{400};
+  for (auto& c : site.config["settings"]["classes"]) c["windowMs"] = kWindow.count();
+  site.Start();
+  ASSERT_TRUE(site.discovery.WaitForWatches(1));
+  Client client(site.proxy->address);
+  client.Send(Change());
+  ASSERT_TRUE(first.WaitForRequests(1));
+  site.discovery.Push(ListJson(42, false, Members(MemberJson("s-2", late.address))));
+  while (site.proxy->Ask([](proxy::Proxy& p) { return p.backends_known(); }) < 2) std::this_thread::yield();
+  release.Do([](bool& r) { r = true; });
+  ASSERT_TRUE(first.WaitForClosed(1));
+  WaitForAnAttempt(site);
+  const auto over = proxy::Steady::now() + kWindow;
+  while (proxy::Steady::now() < over) std::this_thread::yield();
+  EXPECT_EQ(late.FirstBytes(), "");
+  EXPECT_EQ(client.Read().result_int(), 502u);  // it may have run, and may not be sent again
+}
+
 // One attempt that is wanted for as long as `wanted` says; what the server got of it, and how it ended.
 struct Ended {
   proxy::AttemptResult result;
