--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -162,5 +162,37 @@
   EXPECT_EQ(child.Wait(), 0);
 }
 
+// They take all that clients may have; discovery, once it is back, and the servers that it names get theirs.
+TEST(Process, IdleClientsThatCameWhileDiscoveryWasAwayKeepNeitherItNorServersOut) {
+  Backend backend;
+  Watched<bool> back, over;
+  Listener discovery([&](Tcp::socket& socket) {
+    if (!back.Get()) return;  // each call ends at once
+    SendRaw(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string list = ListJson(42, true, Members(MemberJson("s-1", backend.address()))).dump() + "\n";
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx", list.size());
+    SendRaw(socket, size + ("\r\n" + list) + "\r\n");
+    over.WaitFor([](bool o) { return o; });
+  });
+  constexpr int kDescriptors = 64;
+  auto config = ConfigJson(discovery.address, {});
+  config["limits"]["sockets"] = kDescriptors;
+  const ConfigFile file(config.dump());
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}},
+      kDescriptors);
+  while (ReadyStatus(address) != 503) std::this_thread::yield();
+  std::vector<std::unique_ptr<Client>> idle;
+  for (int i = 0; i < 3 * kDescriptors; ++i) idle.push_back(std::make_unique<Client>(address));
+  back.Do([](bool& b) { b = true; });
+  EXPECT_TRUE(WaitUntilReady(address));
+  EXPECT_EQ(Client(address).Ask(Look()).result_int(), 200u);
+  over.Do([](bool& o) { o = true; });
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
