Two tests force their order: a repeat in the turn of a close, a reload as plug-ins load

Seen when each mend was taken out in a copy: Departures.NoRepeat... and Endings.AReload... passed without theirs. Cause of the first: the declined answer takes some turns of the loop, so that the client's end was heard of before the repeat, and where that needs a new connection the look at the connection kept it back too. It now repeats after a pause whose timer and the close fall into one turn, at a server with a connection at rest: fails three times of three without Proxy::Wanted's look, passes with it. Of the second: the signal is kept by asio until the loop runs, so that only a start that runs it before it can reload (one with plug-ins) lost it. The test starts with a plug-in now, and fails without.

No change of the program.

--- a/tests/proxy/departures_test.cpp
+++ b/tests/proxy/departures_test.cpp
@@ -97,32 +97,55 @@
   EXPECT_EQ(requests[1]["Req-Id"], "0c");
 }
 
-// The answer that would have it repeated, and then the client's end, in one turn of the loop.
+// The time of a repeat is there when its client goes, and the loop comes to it first. The other server has a
+// connection at rest, so that the repeat would be written at once.
 TEST(Departures, NoRepeatBeginsAheadOfTheNewsThatItsClientHasGone) {
-  Watched<bool> release, answered;
-  const auto decline = [&](Tcp::socket& s, const HttpRequest&) {
-    release.WaitFor([](bool r) { return r; });
-    SendRaw(s, kDeclined);
-    answered.Do([](bool& a) { a = true; });
+  Watched<int> looks, books;
+  const auto serve = [&](Tcp::socket& s, const HttpRequest& r) {
+    if (r["Req-Kind"] == "look") {
+      looks.Do([](int& n) { ++n; });
+      looks.WaitFor([](int n) { return n == 2; });
+      SendRaw(s, OkAnswer("warm"));
+    } else {
+      SendRaw(s, kDeclined);
+      books.Do([](int& n) { ++n; });
+    }
     return true;
   };
-  Backend one(decline), two(decline);
+  Backend one(serve), two(serve);
   Site site(Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
   TakeTime(site);
+  constexpr std::chrono::milliseconds kPause{500};
+  site.operator_text = "version = 1\n[class.book]\npause = \"500ms\"\n";
+  site.patience.rest = {};
   site.Start();
+  Client here(site.proxy->address), there(site.proxy->address);
+  here.Send(WithId(Look(), "1"));
+  there.Send(WithId(Look(), "2"));
+  EXPECT_EQ(here.Read().body(), "warm");
+  EXPECT_EQ(there.Read().body(), "warm");
+  ASSERT_EQ(one.seen.Get().opened, 1);
+  ASSERT_EQ(two.seen.Get().opened, 1);
+
   Client client(site.proxy->address);
   client.Send(Book());
-  const auto attempts = [&] { return one.seen.Get().requests.size() + two.seen.Get().requests.size(); };
-  while (attempts() == 0) std::this_thread::yield();
-  site.proxy->Ask([&](proxy::Proxy&) {  // the loop stands still meanwhile
-    release.Do([](bool& r) { r = true; });
-    answered.WaitFor([](bool a) { return a; });
-    client.socket.close();
-    return true;
+  ASSERT_TRUE(books.WaitFor([](int n) { return n == 1; }));
+  // The answer is there, and takes a few turns of the loop: each call is one at least.
+  for (int turn = 0; turn < 20; ++turn) site.proxy->Ask([](proxy::Proxy& p) { return p.held(); });
+  // The loop stands still until the pause is over. Then it finds the timer, the client goes, and the timer is
+  // served: its turn has looked for events already.
+  std::promise<void> gone;
+  site.proxy->Post([&] {
+    const auto over = proxy::Steady::now() + 2 * kPause;
+    while (proxy::Steady::now() < over) std::this_thread::yield();
+    site.proxy->Post([&] {
+      client.socket.close();
+      gone.set_value();
+    });
   });
+  gone.get_future().wait();
   EXPECT_TRUE(site.proxy->WaitUntilNothingIsHeld());
-  EXPECT_EQ(attempts(), 1u);
-  EXPECT_EQ(one.seen.Get().opened + two.seen.Get().opened, 1);
+  EXPECT_EQ(books.Get(), 1);
 }
 
 // A repeat that the window permitted when it was decided, on a connection that comes up when the window is
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -8,6 +8,7 @@
 #include "proxy.h"
 #include "support/loopback.h"
 #include "support/process.h"
+#include "support/temporary.h"
 
 namespace brackenspoke::testing {
 namespace {
@@ -92,14 +93,9 @@
 // A file that is read only when the test writes it: what comes meanwhile comes in the middle of the start.
 class Fifo {
  public:
-  Fifo() {
-    char name[] = "/tmp/kestrelline-test-XXXXXX";
-    if (!mkdtemp(name)) throw std::runtime_error("no folder");
-    folder_ = name;
-    path = folder_ + "/config.json";
+  Fifo() : path(folder_ / "config.json") {
     if (mkfifo(path.c_str(), 0600) != 0) throw std::runtime_error("no fifo");
   }
-  ~Fifo() { std::filesystem::remove_all(folder_); }
 
   // Once somebody reads; then `meanwhile`, then the text. False if nobody does.
   bool Write(
@@ -116,10 +112,11 @@
     return written;
   }
 
-  std::string path;
-
  private:
-  std::string folder_;
+  kestrelline::testing::TemporaryFolder folder_;
+
+ public:
+  const std::string path;
 };
 
 bool WaitUntilItListens(const Tcp::endpoint& address) {
@@ -135,14 +132,29 @@
   return false;
 }
 
+// A start that waits for its plug-ins runs the loop, which hears of the signal before anybody can reload.
 TEST(Endings, AReloadThatIsAskedForInTheMiddleOfTheStartHolds) {
+  const kestrelline::testing::TemporaryFolder folder;
+  folder.Write("operator.toml", R"(version = 1
+[[plugin]]
+name = "healthy"
+file = "healthy.lua"
+sets = "route"
+on_failure = "pass"
+[[route]]
+name = "tagged"
+match.tag = "healthy"
+max_in_flight = 100000
+)");
+  folder.Write("healthy.lua", "return { api = 1, tag = function(r) return { route = 'healthy' } end }");
   Backend before("before"), after("after");
   FakeDiscovery here, there;
   there.SetWhole(ListJson(7, true, Members(MemberJson("s-2", after.address()))));
   const Fifo file;
   const auto address = FreePort();
   Child child(
-      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}}, 0,
+      {"--operator", folder / "operator.toml", "--plugin-worker", FAULTY_WORKER_PATH});
   const auto config = [](const FakeDiscovery& discovery, const Backend& backend) {
     return ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump();
   };
--- a/tests/support/running_proxy.h
+++ b/tests/support/running_proxy.h
@@ -78,6 +78,11 @@
     asio::post(io_, [&] { answer.set_value(f(*proxy_)); });
     return answer.get_future().get();
   }
+  // To the loop, which goes on by itself.
+  template <typename F>
+  void Post(F f) {
+    asio::post(io_, std::move(f));
+  }
   bool WaitUntilNothingIsHeld() {
     const auto until = std::chrono::steady_clock::now() + kGiveUp;
     while (Ask([](proxy::Proxy& p) { return p.held(); }) != 0) {
