--- /dev/null
+++ b/src/configuration/route_table.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "configuration/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace kestrelline::configuration {
+namespace {
+
+std::string HostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return name;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(ConfigurationPtr configuration) : configuration_(std::move(configuration)) {
+  for (const Route& route : configuration_->routes) by_host_[route.host].push_back(&route);
+  for (auto& [host, routes] : by_host_) {
+    std::sort(routes.begin(), routes.end(), [](const Route* a, const Route* b) {
+      return a->path_prefix.size() > b->path_prefix.size();
+    });
+  }
+}
+
+const Route* RouteTable::Find(std::string_view host, std::string_view target) const {
+  const auto found = by_host_.find(HostName(host));
+  if (found == by_host_.end()) return nullptr;
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const Route* route : found->second) {
+    if (path.starts_with(route->path_prefix)) return route;
+  }
+  return nullptr;
+}
+
+const WeightedService& RouteTable::Choose(const Route& route, double draw) {
+  std::uint64_t sum = 0;
+  for (const WeightedService& service : route.services) sum += service.weight;
+  double place = draw * static_cast<double>(sum);
+  for (const WeightedService& service : route.services) {
+    place -= static_cast<double>(service.weight);
+    if (place < 0 && service.weight > 0) return service;
+  }
+  return *std::find_if(route.services.rbegin(), route.services.rend(),
+                       [](const WeightedService& service) { return service.weight > 0; });
+}
+
+}  // namespace kestrelline::configuration
--- /dev/null
+++ b/src/control_plane/control_node.cpp
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "control_plane/control_node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/post.hpp>
+#include <random>
+#include <utility>
+
+namespace kestrelline::control_plane {
+namespace {
+
+using namespace http;
+
+constexpr milliseconds kTick{50};
+constexpr milliseconds kPublishEvery{300};  // where nothing changed: how old the knowledge is
+constexpr milliseconds kReadListEvery{500};
+constexpr milliseconds kLeadPoll{100};
+constexpr int kEpochShift = 32;  // a list's revision: the leader's epoch, then a count
+
+Time Now() { return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch()); }
+
+ReplicaOptions OptionsOf(const node::Settings& settings) {
+  ReplicaOptions options;
+  options.self = settings.ip;
+  options.bootstrap = settings.bootstrap;
+  options.counts_for_quorum = settings.counts_for_quorum;
+  options.tolerated = std::max(settings.fault_tolerance.machines, settings.fault_tolerance.zones);
+  for (const node::Endpoint& seed : settings.seeds) options.seeds.push_back(seed.ip);
+  options.random_seed = std::random_device{}();
+  return options;
+}
+
+Stored LoadFrom(Store* store) { return store ? store->Load() : Stored{}; }
+
+}  // namespace
+
+ControlNode::ControlNode(asio::io_context& io, const node::Settings& settings, std::unique_ptr<Store> store)
+    : io_(io),
+      settings_(settings),
+      mesh_(io, settings.ip, settings.first_port),
+      replica_(OptionsOf(settings), LoadFrom(store.get()), Now()),
+      publisher_(mesh_),
+      reader_(io, settings.cloud.value_or(node::Endpoint{})),
+      api_(io, *this, settings.control ? settings.control->port : 0),
+      server_(io, [this](ApiRequest request) { return api_.Handle(std::move(request)); }),
+      tick_(io) {
+  store_ = std::make_unique<StoreThread>(std::move(store), [this](std::uint64_t ticket, bool written) {
+    asio::post(io_, [this, ticket, written] {
+      replica_.Persisted(Now(), ticket, written);
+      Pump();
+    });
+  });
+}
+
+ControlNode::~ControlNode() = default;
+
+std::error_code ControlNode::Start() {
+  const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
+    OnMessage(connection, std::move(message));
+  };
+  const auto on_closed = [this](mesh::Connection& connection) {
+    publisher_.Forget(connection);
+    replica_.set_proxies(static_cast<std::uint32_t>(publisher_.subscribers()));
+  };
+  if (const std::error_code error = mesh_.Listen(on_message, on_closed)) return error;
+  if (settings_.control) {
+    if (const std::error_code error = server_.Listen(*settings_.control)) return error;
+  }
+  if (settings_.cloud) asio::co_spawn(io_, ReadListWhileLeading(), asio::detached);
+  ScheduleTick();
+  return {};
+}
+
+void ControlNode::Stop() {
+  stopping_ = true;
+  replica_.Resign(Now());
+  Pump();
+  server_.Close();
+}
+
+bool ControlNode::Leads() const { return replica_.Leads(Now()); }
+
+std::string ControlNode::OtherLeader() const {
+  return replica_.leader() == settings_.ip ? std::string() : replica_.LiveLeader(Now());
+}
+
+std::string ControlNode::Status() const {
+  const wire::RecordPtr record = replica_.committed();
+  std::string members;
+  if (record) {
+    for (const std::string& member : record->members) members += (members.empty() ? "\"" : ",\"") + member + "\"";
+  }
+  return "{\"node\":\"" + settings_.node_name + "\",\"role\":\"" + NameOf(replica_.role()) +
+         "\",\"epoch\":" + std::to_string(replica_.epoch()) + ",\"leads\":" + (Leads() ? "true" : "false") +
+         ",\"leader\":\"" + replica_.leader() + "\",\"version\":" + std::to_string(record ? record->version : 0) +
+         ",\"members\":[" + members + "],\"proxies\":" + std::to_string(replica_.proxies()) +
+         ",\"backends\":" + std::to_string(instances_ ? instances_->instances.size() : 0) + "}";
+}
+
+void ControlNode::Propose(Change change, std::function<void(Outcome)> decided) {
+  const std::uint64_t number = replica_.Propose(Now(), std::move(change));
+  undecided_.emplace(number, std::move(decided));
+  Pump();
+}
+
+void ControlNode::OnMessage(mesh::Connection& connection, wire::Message message) {
+  if (const auto* subscribe = std::get_if<wire::Subscribe>(&message.body)) {
+    publisher_.Subscribe(connection, *subscribe, CurrentlyPublished());
+    replica_.set_proxies(static_cast<std::uint32_t>(publisher_.subscribers()));
+    return;
+  }
+  if (const auto* list = std::get_if<wire::InstanceList>(&message.body)) return OnInstances(*list);
+  replica_.Receive(Now(), message.sender, message.body);
+  Pump();
+}
+
+void ControlNode::OnInstances(const wire::InstanceList& list) {
+  if (instances_ && list.revision < instances_->revision) return;
+  if (!instances_ || list.revision > instances_->revision) {
+    instances_ = std::make_shared<const wire::InstanceList>(list);
+  }
+  instances_read_ = Now() - milliseconds(list.age_ms);
+  PublishIfChanged();
+}
+
+// Carries out what the replica decided.
+void ControlNode::Pump() {
+  for (Effect& effect : replica_.TakeEffects()) {
+    if (auto* send = std::get_if<Send>(&effect)) {
+      mesh_.Send(send->to, send->body);
+    } else if (auto* persist = std::get_if<Persist>(&effect)) {
+      store_->Write(std::move(*persist));
+    } else if (const auto* decided = std::get_if<Decided>(&effect)) {
+      const auto found = undecided_.find(decided->order);
+      if (found == undecided_.end()) continue;
+      const auto callback = std::move(found->second);
+      undecided_.erase(found);
+      callback(decided->outcome);
+    }
+  }
+  LogRole();
+  PublishIfChanged();
+}
+
+void ControlNode::LogRole() {
+  if (replica_.role() == logged_role_) return;
+  logged_role_ = replica_.role();
+  spdlog::info("role={} epoch={} leader={}", NameOf(logged_role_), replica_.epoch(), replica_.leader());
+}
+
+void ControlNode::ScheduleTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const error_code& cancelled) {
+    if (cancelled) return;
+    replica_.Tick(Now());
+    Pump();
+    if (Now() >= next_publication_) {
+      next_publication_ = Now() + kPublishEvery;
+      publisher_.Publish(CurrentlyPublished());
+    }
+    ScheduleTick();
+  });
+}
+
+Published ControlNode::CurrentlyPublished() const {
+  const Time now = Now();
+  Published published;
+  published.record = replica_.committed();
+  if (const auto certain = replica_.certain_at(now)) published.record_age = now - *certain;
+  published.instances = instances_;
+  published.instances_age = now - instances_read_;
+  published.proxies = replica_.proxies();
+  published.control_peers = replica_.KnownNodes();
+  return published;
+}
+
+void ControlNode::PublishIfChanged() {
+  if (replica_.committed() == published_record_ && instances_ == published_instances_) return;
+  if (replica_.committed() && (!published_record_ || published_record_->version != replica_.committed()->version)) {
+    spdlog::info("configuration version={} members={}", replica_.committed()->version,
+                 replica_.committed()->members.size());
+  }
+  published_record_ = replica_.committed();
+  published_instances_ = instances_;
+  next_publication_ = Now() + kPublishEvery;
+  publisher_.Publish(CurrentlyPublished());
+}
+
+Awaitable<void> ControlNode::ReadListWhileLeading() {
+  asio::steady_timer timer(io_);
+  while (!stopping_) {
+    const auto began = steady_clock::now();
+    const bool leads = Leads();
+    if (leads) {
+      auto instances = co_await reader_.Read();
+      if (instances && Leads()) TakeList(std::move(*instances));
+    }
+    timer.expires_at(began + (leads ? kReadListEvery : kLeadPoll));
+    co_await timer.async_wait(kTuple);
+  }
+}
+
+void ControlNode::TakeList(std::vector<wire::Instance> instances) {
+  for (wire::Instance& instance : instances) instance.warmup_left_ms = 0;  // changes all the time; not used
+  const std::uint64_t first = replica_.epoch() << kEpochShift;
+  if (!instances_ || instances_->instances != instances || instances_->revision < first) {
+    wire::InstanceList list;
+    list.revision = std::max(first, instances_ ? instances_->revision : 0) + 1;
+    list.instances = std::move(instances);
+    instances_ = std::make_shared<const wire::InstanceList>(std::move(list));
+  }
+  instances_read_ = Now();
+  PublishIfChanged();
+  for (const std::string& node : replica_.KnownNodes()) {
+    if (node != settings_.ip) mesh_.Send(node, *instances_);
+  }
+}
+
+}  // namespace kestrelline::control_plane
--- /dev/null
+++ b/src/control_plane/control_node.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A process of the control plane: the replica with its disk, its connections, the operator's API, the platform's list
+// and the subscriptions of proxies.
+#ifndef KESTRELLINE_CONTROL_PLANE_CONTROL_NODE_H_
+#define KESTRELLINE_CONTROL_PLANE_CONTROL_NODE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "control_plane/operator_api.h"
+#include "control_plane/publisher.h"
+#include "control_plane/replica.h"
+#include "control_plane/store.h"
+#include "discovery/list_reader.h"
+#include "http/api_server.h"
+#include "mesh/mesh.h"
+#include "node/settings.h"
+
+namespace kestrelline::control_plane {
+
+class ControlNode : public ControlState {
+ public:
+  ControlNode(http::asio::io_context& io, const node::Settings& settings, std::unique_ptr<Store> store);
+  ~ControlNode() override;
+
+  std::error_code Start();
+  // Hands leading on and stops listening; the caller ends the loop a moment later.
+  void Stop();
+
+  bool Leads() const override;
+  std::string OtherLeader() const override;
+  wire::RecordPtr Committed() const override { return replica_.committed(); }
+  std::string Status() const override;
+  void Propose(Change change, std::function<void(Outcome)> decided) override;
+
+ private:
+  void OnMessage(mesh::Connection& connection, wire::Message message);
+  void OnInstances(const wire::InstanceList& list);
+  void Pump();
+  void LogRole();
+  void ScheduleTick();
+  void PublishIfChanged();
+  Published CurrentlyPublished() const;
+  http::Awaitable<void> ReadListWhileLeading();
+  void TakeList(std::vector<wire::Instance> instances);
+
+  http::asio::io_context& io_;
+  const node::Settings settings_;
+  mesh::Mesh mesh_;
+  Replica replica_;
+  Publisher publisher_;
+  discovery::ListReader reader_;
+  OperatorApi api_;
+  http::ApiServer server_;
+  http::asio::steady_timer tick_;
+  std::unique_ptr<StoreThread> store_;
+  std::map<std::uint64_t, std::function<void(Outcome)>> undecided_;
+
+  wire::InstanceListPtr instances_;
+  Time instances_read_{0};
+  wire::RecordPtr published_record_;
+  wire::InstanceListPtr published_instances_;
+  Time next_publication_{0};
+  Role logged_role_ = Role::kLearning;
+  bool stopping_ = false;
+};
+
+}  // namespace kestrelline::control_plane
+
+#endif  // KESTRELLINE_CONTROL_PLANE_CONTROL_NODE_H_
--- /dev/null
+++ b/src/control_plane/operator_api.cpp
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "control_plane/operator_api.h"
+
+#include <charconv>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "configuration/configuration.h"
+
+namespace kestrelline::control_plane {
+namespace {
+
+using namespace http;
+
+constexpr milliseconds kWaitForLeader{600};
+constexpr milliseconds kLeaderPoll{50};
+// A caller goes on to another member after a second without an answer; it has long gone by then.
+constexpr milliseconds kDecisionPatience{3500};
+
+wire::Digest DigestOf(const std::string& text) {
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  return {hash.high64, hash.low64};
+}
+
+std::optional<std::uint64_t> IfMatch(const ApiRequest& request) {
+  std::string_view text = request[bhttp::field::if_match];
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') text = text.substr(1, text.size() - 2);
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+ApiResponse AnswerTo(Outcome outcome, std::uint64_t version) {
+  switch (outcome) {
+    case Outcome::kTaken:
+      return JsonResponse(bhttp::status::ok, "{\"version\":" + std::to_string(version) + "}");
+    case Outcome::kConflict:
+      return ErrorResponse(bhttp::status::precondition_failed, "another version is current");
+    case Outcome::kOldVersion:
+      return ErrorResponse(bhttp::status::bad_request, "version is not above the current one");
+    case Outcome::kNotLeader:
+    case Outcome::kOverloaded:
+      break;
+  }
+  return ErrorResponse(bhttp::status::service_unavailable, "not decided here, ask again");
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(asio::io_context& io, ControlState& state, std::uint16_t control_port)
+    : io_(io), state_(state), control_port_(control_port) {}
+
+Awaitable<ApiResponse> OperatorApi::Handle(ApiRequest request) {
+  const std::string target(request.target());
+  if (target == "/-/config") {
+    if (request.method() == bhttp::verb::put) co_return co_await Put(std::move(request));
+    if (request.method() == bhttp::verb::get) co_return co_await Get(target);
+    co_return ErrorResponse(bhttp::status::method_not_allowed, "PUT or GET");
+  }
+  if (target == "/-/status" && request.method() == bhttp::verb::get) {
+    co_return JsonResponse(bhttp::status::ok, state_.Status());
+  }
+  co_return ErrorResponse(bhttp::status::not_found, "no such resource");
+}
+
+Awaitable<std::optional<ApiResponse>> OperatorApi::ElsewhereUnlessLeading(std::string target) {
+  asio::steady_timer timer(io_);
+  const auto until = steady_clock::now() + kWaitForLeader;
+  while (true) {
+    if (state_.Leads()) co_return std::nullopt;
+    const std::string leader = state_.OtherLeader();
+    if (!leader.empty()) {
+      ApiResponse response = ErrorResponse(bhttp::status::temporary_redirect, "another member leads");
+      response.set(bhttp::field::location, "http://" + leader + ":" + std::to_string(control_port_) + target);
+      co_return response;
+    }
+    if (steady_clock::now() >= until) break;
+    timer.expires_after(kLeaderPoll);
+    co_await timer.async_wait(kTuple);
+  }
+  co_return ErrorResponse(bhttp::status::service_unavailable, "no leader is known");
+}
+
+Awaitable<ApiResponse> OperatorApi::Get(std::string target) {
+  if (auto elsewhere = co_await ElsewhereUnlessLeading(target)) co_return std::move(*elsewhere);
+  const wire::RecordPtr record = state_.Committed();
+  if (!record || record->configuration.empty()) {
+    co_return ErrorResponse(bhttp::status::not_found, "there is no configuration yet");
+  }
+  co_return JsonResponse(bhttp::status::ok, record->configuration);
+}
+
+Awaitable<ApiResponse> OperatorApi::Put(ApiRequest request) {
+  if (auto elsewhere = co_await ElsewhereUnlessLeading("/-/config")) co_return std::move(*elsewhere);
+  const auto builds_on = IfMatch(request);
+  if (!builds_on) co_return ErrorResponse(bhttp::status::bad_request, "If-Match holds no version");
+  const configuration::ParseResult parsed = configuration::Parse(request.body());
+  if (!parsed.configuration) co_return ErrorResponse(bhttp::status::bad_request, parsed.error);
+  Change change;
+  change.version = parsed.configuration->version;
+  change.builds_on = *builds_on;
+  change.digest = DigestOf(request.body());
+  change.configuration = std::move(request.body());
+  const std::uint64_t version = change.version;
+  co_return AnswerTo(co_await Decide(std::move(change)), version);
+}
+
+Awaitable<Outcome> OperatorApi::Decide(Change change) {
+  struct Waiting {
+    explicit Waiting(asio::io_context& io) : timer(io, kDecisionPatience) {}
+    asio::steady_timer timer;
+    std::optional<Outcome> outcome;
+  };
+  const auto waiting = std::make_shared<Waiting>(io_);
+  state_.Propose(std::move(change), [waiting](Outcome outcome) {
+    waiting->outcome = outcome;
+    waiting->timer.cancel();
+  });
+  if (!waiting->outcome) co_await waiting->timer.async_wait(kTuple);
+  co_return waiting->outcome.value_or(Outcome::kNotLeader);
+}
+
+}  // namespace kestrelline::control_plane
--- /dev/null
+++ b/src/control_plane/store.cpp
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "control_plane/store.h"
+
+#include <sqlite3.h>
+
+#include <cstdio>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "wire/codec.h"
+
+namespace kestrelline::control_plane {
+namespace {
+
+class Category : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "store"; }
+  std::string message(int value) const override {
+    switch (static_cast<StoreError>(value)) {
+      case StoreError::kNone:
+        return "no error";
+      case StoreError::kCannotOpen:
+        return "the store cannot be opened";
+      case StoreError::kCannotWrite:
+        return "the store cannot be written";
+    }
+    return "unknown";
+  }
+};
+
+constexpr const char* kFileName = "/control.db";
+
+constexpr const char* kPrepare =
+    "PRAGMA locking_mode=EXCLUSIVE;"  // no index in memory that processes share
+    "PRAGMA journal_mode=WAL;"
+    "PRAGMA synchronous=FULL;"
+    "PRAGMA cache_size=-256;"
+    "PRAGMA wal_autocheckpoint=256;"
+    "PRAGMA journal_size_limit=4194304;"
+    "CREATE TABLE IF NOT EXISTS promise(id INTEGER PRIMARY KEY CHECK(id=1), epoch INTEGER NOT NULL);"
+    "CREATE TABLE IF NOT EXISTS record(id INTEGER PRIMARY KEY CHECK(id=1), digest INTEGER NOT NULL, body BLOB NOT NULL);";
+
+struct FinalizeStatement {
+  void operator()(sqlite3_stmt* statement) const { sqlite3_finalize(statement); }
+};
+using Statement = std::unique_ptr<sqlite3_stmt, FinalizeStatement>;
+
+Statement Prepare(sqlite3* database, const char* text) {
+  sqlite3_stmt* statement = nullptr;
+  sqlite3_prepare_v2(database, text, -1, &statement, nullptr);
+  return Statement(statement);
+}
+
+std::int64_t DigestOf(std::string_view bytes) {
+  return static_cast<std::int64_t>(XXH3_64bits(bytes.data(), bytes.size()));
+}
+
+struct Opened {
+  sqlite3* database = nullptr;
+  int error = SQLITE_OK;
+};
+
+Opened OpenFile(const std::string& path) {
+  Opened opened;
+  constexpr int kFlags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
+  opened.error = sqlite3_open_v2(path.c_str(), &opened.database, kFlags, nullptr);
+  if (opened.error == SQLITE_OK) {
+    opened.error = sqlite3_exec(opened.database, kPrepare, nullptr, nullptr, nullptr);
+  }
+  if (opened.error == SQLITE_OK) return opened;
+  sqlite3_close(opened.database);
+  opened.database = nullptr;
+  return opened;
+}
+
+// A disk that is full or in trouble is not damage: what is on it must stay.
+bool IsDamage(int error) { return error == SQLITE_CORRUPT || error == SQLITE_NOTADB; }
+
+}  // namespace
+
+const std::error_category& StoreCategory() {
+  static const Category category;
+  return category;
+}
+std::error_code make_error_code(StoreError error) { return {static_cast<int>(error), StoreCategory()}; }
+
+std::unique_ptr<Store> Store::Open(const std::string& directory, std::error_code& error) {
+  const std::string path = directory + kFileName;
+  Opened opened = OpenFile(path);
+  if (IsDamage(opened.error)) {
+    for (const char* suffix : {"", "-wal", "-journal"}) std::remove((path + suffix).c_str());
+    opened = OpenFile(path);
+  }
+  if (opened.database == nullptr) {
+    error = StoreError::kCannotOpen;
+    return nullptr;
+  }
+  error = {};
+  return std::unique_ptr<Store>(new Store(opened.database));
+}
+
+Store::~Store() { sqlite3_close(database_); }
+
+bool Store::Execute(const char* statement) {
+  return sqlite3_exec(database_, statement, nullptr, nullptr, nullptr) == SQLITE_OK;
+}
+
+Stored Store::Load() {
+  Stored stored;
+  const Statement promise = Prepare(database_, "SELECT epoch FROM promise WHERE id=1");
+  if (!promise || sqlite3_step(promise.get()) != SQLITE_ROW) return {};
+  stored.promised = static_cast<std::uint64_t>(sqlite3_column_int64(promise.get(), 0));
+  const Statement body = Prepare(database_, "SELECT digest, body FROM record WHERE id=1");
+  if (!body || sqlite3_step(body.get()) != SQLITE_ROW) return {};
+  const std::string_view bytes(static_cast<const char*>(sqlite3_column_blob(body.get(), 1)),
+                               static_cast<std::size_t>(sqlite3_column_bytes(body.get(), 1)));
+  if (sqlite3_column_int64(body.get(), 0) != DigestOf(bytes)) return {};
+  auto record = wire::DecodeRecord(bytes);
+  if (!record) return {};
+  stored.record = std::make_shared<const wire::Record>(std::move(*record));
+  return stored;
+}
+
+std::error_code Store::Write(std::uint64_t promised, const wire::Record* record) {
+  if (!Execute("BEGIN IMMEDIATE")) return StoreError::kCannotWrite;
+  bool good = false;
+  {
+    const Statement promise = Prepare(database_, "INSERT OR REPLACE INTO promise(id, epoch) VALUES(1, ?)");
+    good = promise && sqlite3_bind_int64(promise.get(), 1, static_cast<std::int64_t>(promised)) == SQLITE_OK &&
+           sqlite3_step(promise.get()) == SQLITE_DONE;
+  }
+  if (good && record != nullptr) {
+    const std::string bytes = wire::EncodeRecord(*record);
+    const Statement body = Prepare(database_, "INSERT OR REPLACE INTO record(id, digest, body) VALUES(1, ?, ?)");
+    good = body && sqlite3_bind_int64(body.get(), 1, DigestOf(bytes)) == SQLITE_OK &&
+           sqlite3_bind_blob(body.get(), 2, bytes.data(), static_cast<int>(bytes.size()), SQLITE_STATIC) == SQLITE_OK &&
+           sqlite3_step(body.get()) == SQLITE_DONE;
+  }
+  if (good && Execute("COMMIT")) return {};
+  Execute("ROLLBACK");
+  return StoreError::kCannotWrite;
+}
+
+StoreThread::StoreThread(std::unique_ptr<Store> store, Done done)
+    : store_(std::move(store)), done_(std::move(done)), thread_([this] { Run(); }) {}
+
+StoreThread::~StoreThread() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_one();
+  thread_.join();
+}
+
+void StoreThread::Write(Persist persist) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (queue_.size() < kMostQueued) {
+      queue_.push_back(std::move(persist));
+      changed_.notify_one();
+      return;
+    }
+  }
+  done_(persist.ticket, false);
+}
+
+void StoreThread::Run() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    if (queue_.empty()) return;
+    const Persist persist = std::move(queue_.front());
+    queue_.pop_front();
+    lock.unlock();
+    const bool written = store_ && !store_->Write(persist.promised, persist.record.get());
+    done_(persist.ticket, written);
+    lock.lock();
+  }
+}
+
+}  // namespace kestrelline::control_plane
--- /dev/null
+++ b/src/data_plane/backend.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a proxy knows of one backend. No I/O, no clock.
+#ifndef KESTRELLINE_DATA_PLANE_BACKEND_H_
+#define KESTRELLINE_DATA_PLANE_BACKEND_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "policy/ejection.h"
+#include "wire/messages.h"
+
+namespace kestrelline::data_plane {
+
+using brackenspoke::Duration;
+using brackenspoke::OutlierDetector;
+using brackenspoke::TimePoint;
+
+// What the backend said of its load in its last answer.
+struct LoadHint {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  int own = 0;  // of those, requests of this proxy
+  TimePoint at{};
+  bool known = false;
+};
+
+// "running,waiting,slots"; nothing is changed if it can't be read.
+bool ParseLoad(std::string_view text, LoadHint& hint);
+
+// Parts of prompts that a backend has read for this proxy, and when it last used them.
+class KnownParts {
+ public:
+  static constexpr std::size_t kMost = 768;  // the oldest half is forgotten beyond this
+
+  void Note(std::uint64_t chain, TimePoint now);
+  bool Has(std::uint64_t chain, TimePoint since) const;
+
+ private:
+  std::unordered_map<std::uint64_t, TimePoint> used_;
+};
+
+struct Backend {
+  wire::Instance info;
+  OutlierDetector::Host health;
+  bool listed = true;     // on the newest list
+  bool displaced = false; // another instance answered at its address
+  int in_flight = 0;      // requests of this proxy that are not answered yet
+  LoadHint load;
+  KnownParts parts;
+  TimePoint work_until{};  // when the prompts that this proxy sent there should have been read
+  std::uint64_t id_hash = 0;
+
+  bool Serves() const { return listed && !info.draining && !displaced; }
+};
+using BackendPtr = std::shared_ptr<Backend>;
+
+}  // namespace kestrelline::data_plane
+
+#endif  // KESTRELLINE_DATA_PLANE_BACKEND_H_
--- /dev/null
+++ b/src/data_plane/backend_table.cpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "data_plane/backend_table.h"
+
+#include <functional>
+
+namespace kestrelline::data_plane {
+namespace {
+
+constexpr Duration kInterval{4000};
+
+}  // namespace
+
+Stage StageOf(const wire::Instance& instance) {
+  if (instance.prefill) return Stage::kPrefill;
+  return instance.decode ? Stage::kDecode : Stage::kAny;
+}
+
+void BackendTable::Update(const wire::InstanceList& list, TimePoint now) {
+  for (auto& [id, backend] : by_id_) backend->listed = false;
+  std::map<Key, Group> groups;
+  for (const wire::Instance& instance : list.instances) {
+    BackendPtr& backend = by_id_[instance.id];
+    if (!backend) {
+      backend = std::make_shared<Backend>();
+      backend->id_hash = std::hash<std::string>{}(instance.id);
+    } else if (StageOf(backend->info) != StageOf(instance)) {
+      backend->health = {};  // it is counted in another group from now on
+      backend->work_until = now;
+    }
+    backend->info = instance;
+    backend->listed = true;
+    groups[{instance.service, StageOf(instance)}].backends.push_back(backend);
+  }
+  std::erase_if(by_id_, [](const auto& entry) { return !entry.second->listed; });
+  for (auto& [key, group] : groups) {
+    const auto before = groups_.find(key);
+    if (before != groups_.end()) group.health = before->second.health;
+    group.health.thin = true;
+    group.health.interval = kInterval;
+    group.health.hosts = 0;
+    group.health.ejected = 0;
+    for (const BackendPtr& backend : group.backends) {
+      group.health.hosts += backend->Serves();
+      group.health.ejected += backend->health.ejected;
+    }
+  }
+  groups_ = std::move(groups);
+}
+
+void BackendTable::Tick(TimePoint now) {
+  const bool interval_over = now >= interval_ends_;
+  if (interval_over) interval_ends_ = now + kInterval;
+  for (auto& [key, group] : groups_) {
+    if (interval_over) OutlierDetector::EndInterval(group.health);
+    for (const BackendPtr& backend : group.backends) {
+      if (!backend->health.ejected || now < backend->health.return_at) continue;
+      OutlierDetector::Return(backend->health, group.health, OutlierDetector::OnReturn::kKeepMultiplier);
+      --group.health.ejected;
+    }
+  }
+}
+
+bool BackendTable::Record(Backend& backend, bool success, TimePoint now) {
+  const auto group = groups_.find({backend.info.service, StageOf(backend.info)});
+  if (group == groups_.end() || !backend.listed) return false;
+  return OutlierDetector::Record(backend.health, success, now, group->second.health, random_);
+}
+
+const Group* BackendTable::Find(const std::string& service, Stage stage) const {
+  const auto found = groups_.find({service, stage});
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+bool BackendTable::IsSplit(const std::string& service) const {
+  return Find(service, Stage::kPrefill) != nullptr || Find(service, Stage::kDecode) != nullptr;
+}
+
+}  // namespace kestrelline::data_plane
--- /dev/null
+++ b/src/data_plane/edge_node.cpp
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "data_plane/edge_node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "data_plane/request_flow.h"
+
+namespace kestrelline::data_plane {
+namespace {
+
+using namespace http;
+
+constexpr milliseconds kTick{100};
+// The platform asks every second and takes a process out after two refusals.
+constexpr milliseconds kServeOnAfterTerm{3200};
+constexpr milliseconds kGraceMargin{700};
+// A configuration that no member can vouch for is taken after this: better than none.
+constexpr milliseconds kWaitForCertainty{2500};
+constexpr milliseconds kListTooOld{1800};
+constexpr milliseconds kBetweenOwnReadings{1000};
+
+}  // namespace
+
+EdgeNode::EdgeNode(asio::io_context& io, const node::Settings& settings, std::uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      state_(io, settings_, seed),
+      subscriber_(io, settings_, [this] { return Subscriber::Have{version_, instances_revision_}; },
+                  [this](const wire::Publication& publication) { Take(publication); }),
+      ready_server_(io, [this](ApiRequest request) { return Readiness(std::move(request)); }),
+      acceptor_(io),
+      reader_(io, settings.cloud.value_or(node::Endpoint{})),
+      tick_(io),
+      started_(steady_clock::now()) {
+  const auto files = static_cast<std::size_t>(std::max<std::int64_t>(settings.limits.max_fds, 512));
+  most_clients_ = (files - kFilesKeptBack) / 2;
+}
+
+std::error_code EdgeNode::Start() {
+  if (settings_.ready) {
+    if (const std::error_code error = ready_server_.Listen(*settings_.ready)) return error;
+  }
+  if (!settings_.front) return std::make_error_code(std::errc::invalid_argument);
+  if (const std::error_code error = OpenAcceptor(acceptor_, *settings_.front)) return error;
+  asio::co_spawn(io_, Accept(), asio::detached);
+  subscriber_.Start();
+  ScheduleTick();
+  return {};
+}
+
+bool EdgeNode::Ready() const { return !state_.draining && state_.routes && know_backends_; }
+
+Awaitable<ApiResponse> EdgeNode::Readiness(ApiRequest request) {
+  if (request.target() != "/-/readyz") co_return ErrorResponse(bhttp::status::not_found, "no such resource");
+  if (Ready()) co_return JsonResponse(bhttp::status::ok, "{\"ready\":true}");
+  co_return JsonResponse(bhttp::status::service_unavailable, "{\"ready\":false}");
+}
+
+Awaitable<void> EdgeNode::Accept() {
+  while (acceptor_.is_open()) {
+    auto [error, socket] = co_await acceptor_.async_accept(kTuple);
+    if (error) {
+      if (!acceptor_.is_open()) co_return;
+      asio::steady_timer pause(io_, milliseconds(20));  // out of descriptors, perhaps
+      co_await pause.async_wait(kTuple);
+      continue;
+    }
+    if (clients_.size() >= most_clients_) continue;
+    asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+Awaitable<void> EdgeNode::Serve(Tcp::socket socket) {
+  ClientConnection client(std::move(socket));
+  clients_.insert(&client);
+  while (true) {
+    const configuration::Limits limits =
+        state_.routes ? state_.routes->configuration().limits : configuration::Limits{};
+    const auto result = co_await client.ReadRequest(limits);
+    if (result.end == ClientConnection::ReadEnd::kClosed) break;
+    if (result.end == ClientConnection::ReadEnd::kMalformed) {
+      client.set_last(true);
+      const auto status = static_cast<unsigned>(result.status);
+      std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+      head += std::string_view(bhttp::obsolete_reason(result.status));
+      co_await client.WriteWhole(head + "\r\n", "");
+      break;
+    }
+    client.set_last(state_.draining);
+    ++state_.requests_under_way;
+    {
+      RequestFlow flow(state_, client);
+      co_await flow.Run();
+    }
+    --state_.requests_under_way;
+    if (client.last()) break;
+  }
+  client.Close();
+  clients_.erase(&client);
+}
+
+void EdgeNode::ScheduleTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const error_code& cancelled) {
+    if (cancelled) return;
+    state_.backends.Tick(DecisionTime());
+    state_.pool.Tick();
+    subscriber_.Tick();
+    if (state_.draining) TickDrain();
+    const auto now = steady_clock::now();
+    if (settings_.cloud && !reading_ && now - std::max(instances_read_, started_) > kListTooOld &&
+        now >= next_own_reading_) {
+      reading_ = true;
+      asio::co_spawn(io_, ReadListIfForgotten(), asio::detached);
+    }
+    ScheduleTick();
+  });
+}
+
+// Nobody passes the list on: this proxy reads it itself, at times that differ from other proxies'.
+Awaitable<void> EdgeNode::ReadListIfForgotten() {
+  const auto spread = milliseconds(static_cast<std::int64_t>(state_.random.Below(400)));
+  next_own_reading_ = steady_clock::now() + kBetweenOwnReadings + spread;
+  auto instances = co_await reader_.Read();
+  reading_ = false;
+  if (!instances) co_return;
+  wire::InstanceList list;
+  list.instances = std::move(*instances);
+  state_.backends.Update(list, DecisionTime());
+  know_backends_ = true;
+  instances_revision_ = 0;  // whatever the control plane has next is taken
+  instances_read_ = steady_clock::now();
+}
+
+void EdgeNode::Take(const wire::Publication& publication) {
+  if (publication.proxies > 0) state_.budget.set_proxies(static_cast<int>(publication.proxies));
+  TakeConfiguration(publication);
+  const auto read_at = steady_clock::now() - milliseconds(publication.instances_age_ms);
+  if (publication.instances && publication.instances->revision > instances_revision_ &&
+      (instances_revision_ > 0 || read_at > instances_read_)) {
+    state_.backends.Update(*publication.instances, DecisionTime());
+    instances_revision_ = publication.instances->revision;
+    know_backends_ = true;
+  }
+  if (publication.instances_revision > 0 && publication.instances_revision == instances_revision_) {
+    instances_read_ = std::max(instances_read_, read_at);
+  }
+}
+
+void EdgeNode::TakeConfiguration(const wire::Publication& publication) {
+  if (publication.configuration.empty() || publication.version <= version_) return;
+  if (!publication.certain && version_ == 0 && steady_clock::now() - started_ < kWaitForCertainty) return;
+  const configuration::ParseResult parsed = configuration::Parse(publication.configuration);
+  if (!parsed.configuration) {
+    spdlog::error("configuration version={} refused: {}", publication.version, parsed.error);
+    return;
+  }
+  state_.routes = std::make_shared<const configuration::RouteTable>(parsed.configuration);
+  version_ = publication.version;
+  spdlog::info("configuration version={} routes={}", version_, parsed.configuration->routes.size());
+}
+
+void EdgeNode::Drain(std::function<void()> done) {
+  if (state_.draining) return;
+  state_.draining = true;
+  drain_began_ = steady_clock::now();
+  drained_ = std::move(done);
+}
+
+void EdgeNode::TickDrain() {
+  const auto since = steady_clock::now() - drain_began_;
+  const bool time_over = since >= settings_.bounds.grace - kGraceMargin;
+  if (since < kServeOnAfterTerm && !time_over) return;
+  if (acceptor_.is_open()) acceptor_.close();
+  for (ClientConnection* client : std::set<ClientConnection*>(clients_)) client->CloseIfIdle();
+  if ((!clients_.empty() && !time_over) || !drained_) return;
+  spdlog::info("drained requests={} answered={} refused={} failed={} cut={}", state_.counters.requests,
+               state_.counters.answered, state_.counters.refused, state_.counters.failed, state_.counters.cut);
+  std::exchange(drained_, nullptr)();
+}
+
+}  // namespace kestrelline::data_plane
--- /dev/null
+++ b/src/data_plane/edge_node.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A process of the data plane: takes clients' connections, follows the control plane, says whether it is ready.
+#ifndef KESTRELLINE_DATA_PLANE_EDGE_NODE_H_
+#define KESTRELLINE_DATA_PLANE_EDGE_NODE_H_
+
+#include <functional>
+#include <set>
+#include <system_error>
+
+#include "data_plane/client_connection.h"
+#include "data_plane/edge_state.h"
+#include "data_plane/subscriber.h"
+#include "discovery/list_reader.h"
+#include "http/api_server.h"
+#include "node/settings.h"
+
+namespace kestrelline::data_plane {
+
+class EdgeNode {
+ public:
+  static constexpr std::size_t kFilesKeptBack = 256;  // of the descriptors, for all but clients and backends
+
+  EdgeNode(http::asio::io_context& io, const node::Settings& settings, std::uint64_t seed);
+
+  std::error_code Start();
+  // Not ready from now on; `done` is called once all that was read is answered, or the time for it is over.
+  void Drain(std::function<void()> done);
+
+ private:
+  http::Awaitable<http::ApiResponse> Readiness(http::ApiRequest request);
+  Awaitable<void> Accept();
+  Awaitable<void> Serve(http::Tcp::socket socket);
+  void ScheduleTick();
+  void TickDrain();
+  void Take(const wire::Publication& publication);
+  void TakeConfiguration(const wire::Publication& publication);
+  Awaitable<void> ReadListIfForgotten();
+  bool Ready() const;
+
+  http::asio::io_context& io_;
+  const node::Settings settings_;
+  EdgeState state_;
+  Subscriber subscriber_;
+  http::ApiServer ready_server_;
+  http::Tcp::acceptor acceptor_;
+  discovery::ListReader reader_;
+  http::asio::steady_timer tick_;
+  std::set<ClientConnection*> clients_;
+  std::size_t most_clients_ = 0;
+
+  steady_clock::time_point started_;
+  std::uint64_t version_ = 0;
+  std::uint64_t instances_revision_ = 0;
+  steady_clock::time_point instances_read_{};
+  steady_clock::time_point next_own_reading_{};
+  bool reading_ = false;
+  bool know_backends_ = false;
+
+  steady_clock::time_point drain_began_{};
+  std::function<void()> drained_;
+};
+
+}  // namespace kestrelline::data_plane
+
+#endif  // KESTRELLINE_DATA_PLANE_EDGE_NODE_H_
--- /dev/null
+++ b/src/data_plane/edge_state.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What all requests of a proxy share. One thread.
+#ifndef KESTRELLINE_DATA_PLANE_EDGE_STATE_H_
+#define KESTRELLINE_DATA_PLANE_EDGE_STATE_H_
+
+#include <cstdint>
+
+#include "configuration/route_table.h"
+#include "data_plane/backend_connection.h"
+#include "data_plane/backend_table.h"
+#include "data_plane/placement.h"
+#include "data_plane/retry_budget.h"
+#include "node/settings.h"
+
+namespace kestrelline::data_plane {
+
+// Counted since the start; logged from time to time.
+struct Counters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cut = 0;  // answers broken off
+  std::uint64_t client_gone = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t ejections = 0;
+};
+
+struct EdgeState {
+  EdgeState(http::asio::io_context& context, const node::Settings& node_settings, std::uint64_t seed)
+      : io(context),
+        settings(node_settings),
+        pool(context),
+        backends(seed),
+        placement(backends, node_settings.zone, EngineModel{}, seed + 1),
+        budget({node_settings.bounds.retry_budget_ratio, node_settings.bounds.min_retries,
+                brackenspoke::Duration(static_cast<double>(node_settings.bounds.budget_window.count()))}),
+        random(seed + 2) {}
+
+  http::asio::io_context& io;
+  const node::Settings& settings;
+  configuration::RouteTablePtr routes;  // swapped whole; null before the first configuration
+  ConnectionPool pool;
+  BackendTable backends;
+  Placement placement;
+  RetryBudget budget;
+  brackenspoke::Random random;
+  Counters counters;
+  bool draining = false;  // SIGTERM came
+  int requests_under_way = 0;
+};
+
+// The present, as the decisions count it.
+inline TimePoint DecisionTime(steady_clock::time_point now = steady_clock::now()) {
+  return TimePoint(std::chrono::duration_cast<Duration>(now.time_since_epoch()));
+}
+
+}  // namespace kestrelline::data_plane
+
+#endif  // KESTRELLINE_DATA_PLANE_EDGE_STATE_H_
--- /dev/null
+++ b/src/data_plane/request_flow.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// One request of a client, from its route to its last byte: which backends it is sent to, what is tried again, and
+// how it is answered.
+//
+// What keeps the rules: a request that is not idempotent is sent again only where no backend can have run it; 503 is
+// answered only then too; an answer is passed on only from its backend, and ends well only if it is whole.
+#ifndef KESTRELLINE_DATA_PLANE_REQUEST_FLOW_H_
+#define KESTRELLINE_DATA_PLANE_REQUEST_FLOW_H_
+
+#include <optional>
+#include <string>
+
+#include "data_plane/attempt.h"
+#include "data_plane/event_splitter.h"
+
+namespace kestrelline::data_plane {
+
+class RequestFlow {
+ public:
+  static constexpr std::size_t kLongestAnswer = 8 * 1024 * 1024;  // of those that are read whole before they go on
+  static constexpr int kMostSends = 6;                            // attempts of any kind
+
+  RequestFlow(EdgeState& state, ClientConnection& client);
+
+  Awaitable<void> Run();
+
+ private:
+  // Where an attempt left the request.
+  enum class Next { kDone, kTryAgain, kGiveUp };
+  struct ReadPrompt {
+    BackendPtr source;
+    std::string handle;
+    std::string version;
+  };
+
+  Awaitable<void> RunPlain();
+  Awaitable<void> RunGeneration();
+  // Lets a prefill backend read the prompt; nothing if none did.
+  Awaitable<std::optional<ReadPrompt>> Prefill(Pick pick);
+  Awaitable<void> PassOn(Attempt& attempt);
+  Awaitable<void> PassOnWhole(Attempt& attempt);
+  Awaitable<bool> PassOnStream(Attempt& attempt);
+  Awaitable<void> ResumeStream();
+  // What comes after an attempt without an answer.
+  Next After(AttemptEnd end, const Backend& backend);
+  bool MayRunAgain() const;
+  bool TakeBudget();
+  void FreeHandle(const ReadPrompt& prompt);
+
+  Awaitable<AttemptEnd> Send(Attempt& attempt, const std::string& extra_fields, steady_clock::time_point until);
+  std::string BackendHead(const Backend& backend, const std::string& extra_fields) const;
+  std::string PriorityField() const;
+
+  Awaitable<void> Refuse(milliseconds retry_after);
+  Awaitable<void> GiveUp();
+  Awaitable<void> AnswerError(http::bhttp::status status, const std::string& fields);
+
+  steady_clock::time_point GiveUpAt() const { return give_up_at_; }
+  bool OutOfTime() const { return steady_clock::now() >= give_up_at_; }
+  ClientRequest& request() { return client_.request(); }
+
+  EdgeState& state_;
+  ClientConnection& client_;
+  const steady_clock::time_point arrived_;
+  configuration::RouteTablePtr routes_;
+  const configuration::Route* route_ = nullptr;
+  std::string service_;
+  std::string request_id_;
+  Prompt prompt_;
+  std::optional<milliseconds> client_deadline_;
+  steady_clock::time_point give_up_at_;
+
+  Attempt* active_ = nullptr;
+  Excluded excluded_;
+  int sends_ = 0;     // attempts of which a byte may have arrived, and that count towards the budget
+  int may_have_run_ = 0;
+  EventSplitter events_;
+};
+
+}  // namespace kestrelline::data_plane
+
+#endif  // KESTRELLINE_DATA_PLANE_REQUEST_FLOW_H_
--- /dev/null
+++ b/src/data_plane/subscriber.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Follows the control plane: one subscription at a time, to a member that is in contact with the leader's quorum.
+#ifndef KESTRELLINE_DATA_PLANE_SUBSCRIBER_H_
+#define KESTRELLINE_DATA_PLANE_SUBSCRIBER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/asio.h"
+#include "mesh/mesh.h"
+#include "node/settings.h"
+#include "wire/messages.h"
+
+namespace kestrelline::data_plane {
+
+class Subscriber {
+ public:
+  // What the subscriber has already, for the next subscription.
+  struct Have {
+    std::uint64_t version = 0;
+    std::uint64_t instances_revision = 0;
+  };
+  using OnPublication = std::function<void(const wire::Publication&)>;
+
+  Subscriber(http::asio::io_context& io, const node::Settings& settings, std::function<Have()> have,
+             OnPublication on_publication);
+
+  void Start();
+  void Stop();
+  // Every 100 ms or so: leaves a member that is silent or out of contact.
+  void Tick();
+
+ private:
+  void Next();
+  void Connected(const std::string& peer, http::Tcp::socket socket);
+  void Take(const wire::Publication& publication);
+
+  http::asio::io_context& io_;
+  const node::Settings& settings_;
+  std::function<Have()> have_;
+  OnPublication on_publication_;
+  std::vector<std::string> peers_;
+  std::size_t next_peer_ = 0;
+  std::shared_ptr<http::Tcp::socket> connecting_;
+  mesh::ConnectionPtr connection_;
+  http::steady_clock::time_point attempt_began_{};
+  http::steady_clock::time_point heard_at_{};
+  bool fresh_ = false;  // what was heard last was certain and recent
+  bool stopped_ = false;
+};
+
+}  // namespace kestrelline::data_plane
+
+#endif  // KESTRELLINE_DATA_PLANE_SUBSCRIBER_H_
--- /dev/null
+++ b/src/fleet_main/main.cpp
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The fleet's program: one process of the control plane or of the data plane, by subcommand.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "configuration/configuration.h"
+#include "control_plane/control_node.h"
+#include "data_plane/edge_node.h"
+#include "node/settings.h"
+
+namespace {
+
+namespace options = boost::program_options;
+using kestrelline::node::Settings;
+using std::chrono::milliseconds;
+
+constexpr const char* kSettingsVariable = "KESTRELLINE_NODE_FILE";
+constexpr int kUsage = 2;
+constexpr int kFailure = 1;
+
+struct Arguments {
+  std::string command;
+  std::string file;
+  bool help = false;
+};
+
+options::options_description Described() {
+  options::options_description described("Options");
+  described.add_options()("help,h", "this text")("command", options::value<std::string>(), "edge, core, check, version")(
+      "file", options::value<std::string>(), "the settings file");
+  return described;
+}
+
+void PrintUsage(std::ostream& out) {
+  out << "kestrelline-fleet COMMAND [FILE]\n"
+         "  edge           takes clients' requests and passes them on (data plane)\n"
+         "  core           keeps the configuration, reads the platform's list (control plane)\n"
+         "  check [FILE]   checks a settings file\n"
+         "  version        prints the version\n"
+         "FILE: the settings file; else the path in "
+      << kSettingsVariable << "\n";
+}
+
+Arguments Parse(int count, char** values) {
+  options::positional_options_description positions;
+  positions.add("command", 1).add("file", 1);
+  options::variables_map found;
+  options::store(options::command_line_parser(count, values).options(Described()).positional(positions).run(), found);
+  Arguments arguments;
+  arguments.help = found.count("help") > 0;
+  if (found.count("command")) arguments.command = found["command"].as<std::string>();
+  if (found.count("file")) arguments.file = found["file"].as<std::string>();
+  if (arguments.file.empty()) {
+    const char* path = std::getenv(kSettingsVariable);
+    if (path != nullptr) arguments.file = path;
+  }
+  return arguments;
+}
+
+void SetUpLog(const std::string& name) {
+  auto logger = std::make_shared<spdlog::logger>(name, std::make_shared<spdlog::sinks::stderr_sink_st>());
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %n %v", spdlog::pattern_time_type::utc);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+// The disk may be in trouble at the start: it is asked again for a while.
+std::unique_ptr<kestrelline::control_plane::Store> OpenStore(const std::string& directory) {
+  constexpr int kTries = 60;
+  constexpr milliseconds kPause{500};
+  std::error_code error;
+  for (int i = 0; i < kTries; ++i) {
+    auto store = kestrelline::control_plane::Store::Open(directory, error);
+    if (store) return store;
+    spdlog::warn("store directory={} error={}", directory, error.message());
+    std::this_thread::sleep_for(kPause);
+  }
+  return nullptr;
+}
+
+int RunCore(const Settings& settings) {
+  auto store = OpenStore(settings.data_dir);
+  if (!store) return kFailure;
+  boost::asio::io_context io(1);
+  kestrelline::control_plane::ControlNode node(io, settings, std::move(store));
+  if (const std::error_code error = node.Start()) {
+    spdlog::critical("cannot start: {}", error.message());
+    return kFailure;
+  }
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  boost::asio::steady_timer last_words(io);
+  ends.async_wait([&](const boost::system::error_code&, int) {
+    constexpr milliseconds kLastWords{150};
+    node.Stop();
+    last_words.expires_after(kLastWords);
+    last_words.async_wait([&io](const boost::system::error_code&) { io.stop(); });
+  });
+  spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
+  io.run();
+  return 0;
+}
+
+int RunEdge(const Settings& settings) {
+  boost::asio::io_context io(1);
+  kestrelline::data_plane::EdgeNode node(io, settings, std::random_device{}());
+  if (const std::error_code error = node.Start()) {
+    spdlog::critical("cannot start: {}", error.message());
+    return kFailure;
+  }
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  ends.async_wait([&](const boost::system::error_code&, int) { node.Drain([&io] { io.stop(); }); });
+  spdlog::info("started role=edge zone={}", settings.zone);
+  io.run();
+  return 0;
+}
+
+int Run(const Arguments& arguments) {
+  if (arguments.command == "version") {
+    std::cout << "kestrelline-fleet " << KESTRELLINE_VERSION << '\n';
+    return 0;
+  }
+  const bool known = arguments.command == "edge" || arguments.command == "core" || arguments.command == "check";
+  if (!known) {
+    PrintUsage(std::cerr);
+    return kUsage;
+  }
+  if (arguments.file.empty()) {
+    std::cerr << "no settings file: name one, or set " << kSettingsVariable << '\n';
+    return kUsage;
+  }
+  const auto result = kestrelline::node::ReadSettings(arguments.file);
+  if (!result.settings) {
+    std::cerr << result.error << '\n';
+    return kFailure;
+  }
+  if (arguments.command == "check") {
+    std::cout << arguments.file << ": good\n";
+    return 0;
+  }
+  SetUpLog(result.settings->node_name);
+  return arguments.command == "core" ? RunCore(*result.settings) : RunEdge(*result.settings);
+}
+
+}  // namespace
+
+int main(int argument_count, char** argument_values) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // the settings that may change are those of later starts
+  try {
+    const Arguments arguments = Parse(argument_count, argument_values);
+    if (arguments.help) {
+      PrintUsage(std::cout);
+      return 0;
+    }
+    return Run(arguments);
+  } catch (const options::error& error) {
+    std::cerr << error.what() << '\n';
+    return kUsage;
+  }
+}
--- /dev/null
+++ b/src/mesh/connection.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "mesh/connection.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace kestrelline::mesh {
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+constexpr unsigned kSilenceMs = 1200;       // unacknowledged data ends a connection after this
+constexpr std::size_t kMostInOneWrite = 16;  // frames
+
+}  // namespace
+
+void SetOptions(Tcp::socket& socket) {
+  using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  boost::system::error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  socket.set_option(UserTimeout(static_cast<int>(kSilenceMs)), ignored);
+}
+
+Connection::Connection(Tcp::socket socket, OnMessage on_message, OnClosed on_closed)
+    : socket_(std::move(socket)), on_message_(std::move(on_message)), on_closed_(std::move(on_closed)) {}
+
+void Connection::Start() { Read(); }
+
+void Connection::Read() {
+  if (input_.size() < input_used_ + kReadSize) input_.resize(input_used_ + kReadSize);
+  socket_.async_read_some(
+      boost::asio::buffer(input_.data() + input_used_, input_.size() - input_used_),
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+        if (!self->open_) return;
+        if (error) return self->Fail();
+        self->input_used_ += count;
+        if (!self->TakeFrames()) return self->Fail();
+        if (self->open_) self->Read();
+      });
+}
+
+// False if what came is no frame.
+bool Connection::TakeFrames() {
+  std::size_t taken = 0;
+  while (open_ && input_used_ - taken >= wire::kLengthBytes) {
+    const std::string_view rest(input_.data() + taken, input_used_ - taken);
+    const auto length = wire::DecodeLength(rest);
+    if (!length) return false;
+    if (rest.size() < wire::kLengthBytes + *length) break;
+    auto message = wire::DecodeEnvelope(rest.substr(wire::kLengthBytes, *length));
+    if (!message) return false;
+    taken += wire::kLengthBytes + *length;
+    on_message_(*this, std::move(*message));
+  }
+  input_.erase(0, taken);
+  input_used_ -= taken;
+  if (input_used_ == 0 && input_.size() > 4 * kReadSize) {
+    input_.clear();
+    input_.shrink_to_fit();
+  }
+  return true;
+}
+
+void Connection::Send(Frame frame) {
+  if (!open_) return;
+  output_bytes_ += frame->size();
+  output_.push_back(std::move(frame));
+  if (output_bytes_ > kMostQueuedBytes || output_.size() > kMostQueuedFrames) return Fail();
+  if (!writing_) Write();
+}
+
+void Connection::Write() {
+  std::array<boost::asio::const_buffer, kMostInOneWrite> buffers;
+  const std::size_t count = std::min(output_.size(), buffers.size());
+  for (std::size_t i = 0; i < count; ++i) buffers[i] = boost::asio::buffer(*output_[i]);
+  writing_ = true;
+  const auto finish = [self = shared_from_this(), count](const boost::system::error_code& error, std::size_t) {
+    self->writing_ = false;
+    if (!self->open_) return;
+    if (error) return self->Fail();
+    for (std::size_t i = 0; i < count; ++i) {
+      self->output_bytes_ -= self->output_.front()->size();
+      self->output_.pop_front();
+    }
+    if (!self->output_.empty()) self->Write();
+  };
+  boost::asio::async_write(socket_, buffers, finish);
+}
+
+void Connection::Close() {
+  if (!std::exchange(open_, false)) return;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void Connection::Fail() {
+  if (!open_) return;
+  Close();
+  if (on_closed_) on_closed_(*this);
+}
+
+}  // namespace kestrelline::mesh
--- /dev/null
+++ b/src/mesh/mesh.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "mesh/mesh.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace kestrelline::mesh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kConnectPatience{400};
+constexpr milliseconds kBetweenAttempts{150};
+
+}  // namespace
+
+Mesh::Mesh(boost::asio::io_context& io, std::string self, std::uint16_t port)
+    : io_(io), self_(std::move(self)), port_(port), acceptor_(io) {}
+
+std::error_code Mesh::Listen(OnMessage on_message, OnClosed on_closed) {
+  on_message_ = std::move(on_message);
+  on_closed_ = std::move(on_closed);
+  boost::system::error_code error;
+  const Tcp::endpoint here(boost::asio::ip::make_address(self_, error), port_);
+  if (!error) acceptor_.open(here.protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(here, error);
+  if (!error) acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (error) return error;
+  Accept();
+  return {};
+}
+
+void Mesh::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (!error && incoming_.size() < kMostIncoming) {
+      SetOptions(socket);
+      const auto connection = std::make_shared<Connection>(std::move(socket), on_message_, [this](Connection& closed) {
+        Forget(closed);
+        if (on_closed_) on_closed_(closed);
+      });
+      incoming_.insert(connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void Mesh::Forget(Connection& connection) { incoming_.erase(connection.shared_from_this()); }
+
+Frame Mesh::Encode(const wire::Body& body) const {
+  return std::make_shared<const std::string>(wire::EncodeFrame({self_, body}));
+}
+
+void Mesh::Send(const std::string& name, const wire::Body& body) {
+  if (!peers_.contains(name) && peers_.size() >= kMostPeers) return;
+  Peer& peer = peers_[name];
+  if (peer.connection && peer.connection->open()) return peer.connection->Send(Encode(body));
+  peer.connection = nullptr;
+  if (!peer.connecting && steady_clock::now() < peer.next_attempt) return;
+  if (peer.waiting.size() >= kMostWaiting) peer.waiting.pop_front();
+  peer.waiting.push_back(Encode(body));
+  if (!peer.connecting) Connect(name, peer);
+}
+
+void Mesh::Connect(const std::string& name, Peer& peer) {
+  boost::system::error_code error;
+  const Tcp::endpoint there(boost::asio::ip::make_address(name, error), port_);
+  if (error) return peer.waiting.clear();
+  const auto socket = std::make_shared<Tcp::socket>(io_);
+  peer.connecting = socket;
+  peer.next_attempt = steady_clock::now() + kBetweenAttempts;
+  peer.patience = std::make_unique<boost::asio::steady_timer>(io_, kConnectPatience);
+  peer.patience->async_wait([socket](const boost::system::error_code& cancelled) {
+    boost::system::error_code ignored;
+    if (!cancelled) socket->close(ignored);
+  });
+  socket->async_connect(there, [this, name, socket](const boost::system::error_code& failed) {
+    Connected(name, socket, failed);
+  });
+}
+
+void Mesh::Connected(const std::string& name, const std::shared_ptr<Tcp::socket>& socket,
+                     const boost::system::error_code& error) {
+  Peer& peer = peers_[name];
+  if (peer.connecting != socket) return;
+  peer.connecting = nullptr;
+  peer.patience = nullptr;
+  auto waiting = std::exchange(peer.waiting, {});
+  if (error || !socket->is_open()) return;
+  SetOptions(*socket);
+  peer.connection = std::make_shared<Connection>(std::move(*socket), on_message_, nullptr);
+  peer.connection->Start();
+  for (Frame& frame : waiting) peer.connection->Send(std::move(frame));
+}
+
+void Mesh::Close() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const ConnectionPtr& connection : std::exchange(incoming_, {})) connection->Close();
+  for (auto& [name, peer] : std::exchange(peers_, {})) {
+    if (peer.connection) peer.connection->Close();
+    if (peer.connecting) peer.connecting->close(ignored);
+  }
+}
+
+}  // namespace kestrelline::mesh
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Internal connections of a process: one listener, and one outgoing connection to each peer that it sends to.
+// Delivery is at most once: what can't be sent soon is dropped, and the layers above repeat what they need.
+#ifndef KESTRELLINE_MESH_MESH_H_
+#define KESTRELLINE_MESH_MESH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <system_error>
+
+#include "mesh/connection.h"
+
+namespace kestrelline::mesh {
+
+class Mesh {
+ public:
+  static constexpr std::size_t kMostIncoming = 512;
+  static constexpr std::size_t kMostPeers = 128;
+  static constexpr std::size_t kMostWaiting = 32;  // frames for a peer that is being connected
+
+  using OnMessage = Connection::OnMessage;
+  using OnClosed = Connection::OnClosed;
+
+  // All processes of the fleet listen at the same `port`, so that an IP address names one.
+  Mesh(boost::asio::io_context& io, std::string self, std::uint16_t port);
+
+  std::error_code Listen(OnMessage on_message, OnClosed on_closed);
+  // To the peer by its IP address.
+  void Send(const std::string& peer, const wire::Body& body);
+  Frame Encode(const wire::Body& body) const;
+  // Ends all connections and the listener.
+  void Close();
+
+ private:
+  struct Peer {
+    ConnectionPtr connection;
+    std::shared_ptr<Tcp::socket> connecting;
+    std::unique_ptr<boost::asio::steady_timer> patience;
+    std::chrono::steady_clock::time_point next_attempt{};
+    std::deque<Frame> waiting;
+  };
+
+  void Accept();
+  void Connect(const std::string& name, Peer& peer);
+  void Connected(const std::string& name, const std::shared_ptr<Tcp::socket>& socket,
+                 const boost::system::error_code& error);
+  void Forget(Connection& connection);
+
+  boost::asio::io_context& io_;
+  const std::string self_;
+  const std::uint16_t port_;
+  Tcp::acceptor acceptor_;
+  OnMessage on_message_;
+  OnClosed on_closed_;
+  std::map<std::string, Peer> peers_;
+  std::set<ConnectionPtr> incoming_;
+};
+
+}  // namespace kestrelline::mesh
+
+#endif  // KESTRELLINE_MESH_MESH_H_
--- a/src/policy/ejection.h
+++ b/src/policy/ejection.h
@@ -91,10 +91,12 @@
                ? kRequestVolume
                : std::min<int>(kRequestVolume, std::ceil(std::log(kByChance) / std::log(elsewhere)));
   }
-  static void Return(Host& host, const Fleet& fleet) {
+  // What becomes of the multiplier of a host whose time is over: the fleet keeps it, as its page says.
+  enum class OnReturn { kLowerMultiplier, kKeepMultiplier };
+  static void Return(Host& host, const Fleet& fleet, OnReturn on_return = OnReturn::kLowerMultiplier) {
     Sync(host, fleet);
     host.ejected = false;
-    host.multiplier = std::max(0, host.multiplier - 1);
+    if (on_return == OnReturn::kLowerMultiplier) host.multiplier = std::max(0, host.multiplier - 1);
   }
   static void EndInterval(Fleet& fleet) {
     ++fleet.number;
