--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
 #include <utility>
@@ -14,6 +15,7 @@
 
 constexpr milliseconds kTick{50};
 constexpr milliseconds kPublishEvery{300};  // where nothing changed: how old the knowledge is
+constexpr milliseconds kRepeatLoadsEvery{500};  // where they don't change
 constexpr milliseconds kReadListEvery{500};
 constexpr milliseconds kLeadPoll{100};
 constexpr int kEpochShift = 32;  // a list's revision: the leader's epoch, then a count
@@ -111,6 +113,9 @@
     return;
   }
   if (const auto* list = std::get_if<wire::InstanceList>(&message.body)) return OnInstances(*list);
+  if (auto* report = std::get_if<wire::LoadReport>(&message.body)) {
+    return OnLoads(message.sender, std::move(report->loads));
+  }
   replica_.Receive(Now(), message.sender, message.body);
   Pump();
 }
@@ -124,6 +129,34 @@
   PublishIfChanged();
 }
 
+void ControlNode::OnLoads(const std::string& from, std::vector<wire::BackendLoad> loads) {
+  const auto members = replica_.KnownNodes();
+  if (std::find(members.begin(), members.end(), from) != members.end()) {
+    loads_.ReportFromMember(Now(), from, std::move(loads));
+  } else {
+    loads_.ReportFromProxy(Now(), from, std::move(loads));
+  }
+}
+
+// Every tick: what the proxies here have sent goes to the other members, the sum of all to the proxies here.
+void ControlNode::ShareLoads() {
+  loads_.Forget(Now());
+  auto here = loads_.Here();
+  const bool repeat = Now() >= next_load_report_;
+  if (repeat) next_load_report_ = Now() + kRepeatLoadsEvery;
+  if (here != loads_to_members_ || (repeat && !here.empty())) {
+    for (const std::string& node : replica_.KnownNodes()) {
+      if (node != settings_.ip) mesh_.Send(node, wire::LoadReport{here});
+    }
+    loads_to_members_ = std::move(here);
+  }
+  auto everywhere = loads_.Everywhere();
+  if (everywhere != loads_to_proxies_ || repeat) {
+    publisher_.SendToAll(wire::LoadSummary{everywhere});
+    loads_to_proxies_ = std::move(everywhere);
+  }
+}
+
 // Carries out what the replica decided.
 void ControlNode::Pump() {
   for (Effect& effect : replica_.TakeEffects()) {
@@ -155,6 +188,7 @@
     if (cancelled) return;
     replica_.Tick(Now());
     Pump();
+    ShareLoads();
     if (Now() >= next_publication_) {
       next_publication_ = Now() + kPublishEvery;
       publisher_.Publish(CurrentlyPublished());
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <system_error>
 
+#include "control_plane/load_board.h"
 #include "control_plane/operator_api.h"
 #include "control_plane/publisher.h"
 #include "control_plane/replica.h"
@@ -40,6 +41,8 @@
  private:
   void OnMessage(mesh::Connection& connection, wire::Message message);
   void OnInstances(const wire::InstanceList& list);
+  void OnLoads(const std::string& from, std::vector<wire::BackendLoad> loads);
+  void ShareLoads();
   void Pump();
   void LogRole();
   void ScheduleTick();
@@ -60,6 +63,11 @@
   std::unique_ptr<StoreThread> store_;
   std::map<std::uint64_t, std::function<void(Outcome)>> undecided_;
 
+  LoadBoard loads_;
+  std::vector<wire::BackendLoad> loads_to_members_;
+  std::vector<wire::BackendLoad> loads_to_proxies_;
+  Time next_load_report_{0};
+
   wire::InstanceListPtr instances_;
   Time instances_read_{0};
   wire::RecordPtr published_record_;
--- /dev/null
+++ b/src/control_plane/load_board.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Adds up the work that proxies have sent to backends, so that each proxy can go by what all of them sent. No I/O, no
+// clock.
+#ifndef KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
+#define KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wire/messages.h"
+
+namespace kestrelline::control_plane {
+
+class LoadBoard {
+ public:
+  using Time = std::chrono::milliseconds;
+  static constexpr Time kForgetAfter{1500};        // of a reporter that is silent
+  static constexpr std::size_t kMostReporters = 1024;
+
+  void ReportFromProxy(Time now, const std::string& proxy, std::vector<wire::BackendLoad> loads);
+  void ReportFromMember(Time now, const std::string& member, std::vector<wire::BackendLoad> loads);
+  void Forget(Time now);
+
+  // Of the proxies that report here.
+  std::vector<wire::BackendLoad> Here() const { return Sum({&proxies_}); }
+  // Of all proxies.
+  std::vector<wire::BackendLoad> Everywhere() const { return Sum({&proxies_, &members_}); }
+
+ private:
+  struct Report {
+    Time at{0};
+    std::vector<wire::BackendLoad> loads;
+  };
+  using Reports = std::map<std::string, Report>;
+
+  static void Put(Reports& reports, Time now, const std::string& from, std::vector<wire::BackendLoad> loads);
+  static std::vector<wire::BackendLoad> Sum(const std::vector<const Reports*>& sources);
+
+  Reports proxies_;
+  Reports members_;
+};
+
+}  // namespace kestrelline::control_plane
+
+#endif  // KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
--- a/src/control_plane/publisher.cpp
+++ b/src/control_plane/publisher.cpp
@@ -53,4 +53,14 @@
   }
 }
 
+void Publisher::SendToAll(const wire::Body& body) {
+  if (subscribers_.empty()) return;
+  const mesh::Frame frame = mesh_.Encode(body);
+  std::vector<mesh::ConnectionPtr> connections;
+  for (const auto& [key, subscriber] : subscribers_) connections.push_back(subscriber.connection.lock());
+  for (const mesh::ConnectionPtr& connection : connections) {
+    if (connection) connection->Send(frame);
+  }
+}
+
 }  // namespace kestrelline::control_plane
--- a/src/control_plane/publisher.h
+++ b/src/control_plane/publisher.h
@@ -34,6 +34,8 @@
   void Forget(mesh::Connection& connection) { subscribers_.erase(&connection); }
   // To all subscribers; each gets only what it lacks.
   void Publish(const Published& now);
+  // The same to all.
+  void SendToAll(const wire::Body& body);
   std::size_t subscribers() const { return subscribers_.size(); }
 
  private:
--- a/src/control_plane/replica.cpp
+++ b/src/control_plane/replica.cpp
@@ -33,8 +33,7 @@
     voter_ = true;
     pending_position_ = record_->position;
     for (const std::string& elector : Electors(*record_)) Know(elector);
-    // What it granted before it restarted is forgotten: nobody else is supported until that must have ended.
-    lease_until_ = now + options_.lease;
+    silent_until_ = now + options_.lease;
     RollElection(now);
     return;
   }
@@ -89,7 +88,7 @@
     case Writing::Then::kNothing:
       break;
     case Writing::Then::kVote: {
-      wire::VoteReply reply{writing.epoch, false, promised_ == writing.epoch, promised_, nullptr};
+      wire::VoteReply reply{writing.epoch, false, promised_ == writing.epoch, promised_, nullptr, false, false};
       if (StoredPosition() > writing.candidate_held) reply.record = record_;
       SendTo(writing.to, std::move(reply));
       break;
@@ -112,7 +111,7 @@
       role_ = Role::kFollower;
       voter_ = true;
       for (const std::string& elector : Electors(*record_)) Know(elector);
-      lease_until_ = writing.then == Writing::Then::kLearned ? now + options_.lease : now;
+      if (writing.then == Writing::Then::kLearned) silent_until_ = now + options_.lease;
       RollElection(now);
       break;
   }
@@ -258,10 +257,12 @@
 void Replica::On(Time now, const std::string& from, const wire::VoteRequest& request) {
   Know(from);
   highest_seen_ = std::max(highest_seen_, request.trial ? 0 : request.epoch);
-  if (!voter_) return;
   const bool granted = MayGrant(now, from, request.epoch);
-  if (!granted || request.trial) {
-    SendTo(from, wire::VoteReply{request.epoch, request.trial, granted, promised_, nullptr});
+  const bool silent = now < silent_until_;
+  if (!granted || request.trial || (silent && !request.waive_silence)) {
+    const bool would = granted && (request.trial || !silent);
+    const bool leading = role_ == Role::kLeader && Leads(now);
+    SendTo(from, wire::VoteReply{request.epoch, request.trial, would, promised_, nullptr, silent, leading});
     return;
   }
   if (role_ == Role::kLeader || role_ == Role::kCandidate) StepDown(now);
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -180,6 +180,7 @@
   void TickLeader(Time now);
 
   bool MayGrant(Time now, const std::string& candidate, std::uint64_t epoch) const;
+  bool NobodyLeads() const;
   void Follow(Time now, const std::string& leader, std::uint64_t epoch);
   void RollElection(Time now);
   void StandTrial(Time now);
@@ -216,6 +217,7 @@
   std::string leader_;
   std::string lease_holder_;
   Time lease_until_{0};
+  Time silent_until_{0};  // what was granted before a restart is forgotten, and may hold until then
   Time election_at_{0};
   std::optional<Time> heard_certain_;
   wire::RecordPtr committed_;
@@ -224,8 +226,11 @@
   std::uint64_t epoch_ = 0;  // that this member stands for or leads, or follows
   bool trial_ = false;
   bool standing_on_disk_ = false;
+  bool waive_silence_ = false;
   Time round_until_{0};
   NodeSet votes_;
+  NodeSet silent_votes_;  // in a trial: would be granted once the voter's silence is over
+  NodeSet not_leading_;   // in a trial
   wire::RecordPtr best_;  // the newest record seen in this round
 
   std::map<std::string, Peer> peers_;
--- a/src/control_plane/replica_leader.cpp
+++ b/src/control_plane/replica_leader.cpp
@@ -17,11 +17,22 @@
   epoch_ = std::max(promised_, highest_seen_) + 1;
   round_until_ = now + options_.vote_patience;
   best_ = record_;
-  votes_ = {options_.self};
+  waive_silence_ = false;
+  votes_.clear();
+  silent_votes_.clear();
+  (now < silent_until_ ? silent_votes_ : votes_).insert(options_.self);
+  not_leading_ = {options_.self};
   AskForVotes();
   CountVotes(now);
 }
 
+// No elector leads, and each said so itself. Whoever led before a restart has forgotten it, so no lease can hold that
+// a voter forgot.
+bool Replica::NobodyLeads() const {
+  const NodeSet electors = Electors(*best_);
+  return std::includes(not_leading_.begin(), not_leading_.end(), electors.begin(), electors.end());
+}
+
 void Replica::StandForEpoch(Time now) {
   role_ = Role::kCandidate;
   trial_ = false;
@@ -39,7 +50,7 @@
 }
 
 void Replica::AskForVotes() {
-  const wire::VoteRequest request{epoch_, trial_, best_ ? best_->position : wire::Position{}};
+  const wire::VoteRequest request{epoch_, trial_, best_ ? best_->position : wire::Position{}, waive_silence_};
   for (const std::string& elector : Electors(*best_)) {
     if (elector != options_.self && !votes_.contains(elector)) SendTo(elector, request);
   }
@@ -48,11 +59,12 @@
 void Replica::On(Time now, const std::string& from, const wire::VoteReply& reply) {
   highest_seen_ = std::max(highest_seen_, reply.promised);
   if (role_ != Role::kCandidate || reply.epoch != epoch_ || reply.trial != trial_) return;
+  if (trial_ && !reply.leading) not_leading_.insert(from);
   if (!reply.granted) {
-    if (!trial_ && reply.promised > epoch_) StepDown(now);
-    return;
+    if (!trial_ && reply.promised > epoch_) return StepDown(now);
+    return CountVotes(now);
   }
-  votes_.insert(from);
+  (trial_ && reply.silent ? silent_votes_ : votes_).insert(from);
   if (reply.record && reply.record->position > best_->position) {
     const NodeSet before = Electors(*best_);
     best_ = reply.record;
@@ -62,6 +74,10 @@
 }
 
 void Replica::CountVotes(Time now) {
+  if (trial_ && NobodyLeads()) {
+    waive_silence_ = true;
+    votes_.insert(silent_votes_.begin(), silent_votes_.end());
+  }
   if (!IsQuorum(*best_, votes_, options_.tolerated)) return;
   if (trial_) return StandForEpoch(now);
   if (standing_on_disk_ && Electors(*best_).contains(options_.self)) Lead(now);
--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -24,7 +24,6 @@
 void Attempt::Land() {
   if (!std::exchange(in_flight_, false)) return;
   --backend_->in_flight;
-  state_.placement.NoteRead(*backend_, DecisionTime());
 }
 
 Awaitable<AttemptEnd> Attempt::Run(const std::string& head, const std::string& body, const std::string& request_id,
--- a/src/data_plane/backend.h
+++ b/src/data_plane/backend.h
@@ -52,7 +52,12 @@
   int in_flight = 0;      // requests of this proxy that are not answered yet
   LoadHint load;
   KnownParts parts;
-  TimePoint work_until{};  // when the prompts that this proxy sent there should have been read
+  double reading_ms = 0;  // prompts that this proxy sent there and that are not read yet
+  // The same of other proxies, and their requests that are not answered yet, as the control plane told.
+  double others_reading_ms = 0;
+  int others_running = 0;
+  std::uint32_t reported_reading_ms = 0;  // in this proxy's last report
+  std::uint32_t reported_running = 0;
   std::uint64_t id_hash = 0;
 
   bool Serves() const { return listed && !info.draining && !displaced; }
--- a/src/data_plane/backend_table.cpp
+++ b/src/data_plane/backend_table.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kInterval{4000};
+constexpr Duration kLoadsAreOld{900};
 
 }  // namespace
 
@@ -15,7 +16,7 @@
   return instance.decode ? Stage::kDecode : Stage::kAny;
 }
 
-void BackendTable::Update(const wire::InstanceList& list, TimePoint now) {
+void BackendTable::Update(const wire::InstanceList& list) {
   for (auto& [id, backend] : by_id_) backend->listed = false;
   std::map<Key, Group> groups;
   for (const wire::Instance& instance : list.instances) {
@@ -25,7 +26,6 @@
       backend->id_hash = std::hash<std::string>{}(instance.id);
     } else if (StageOf(backend->info) != StageOf(instance)) {
       backend->health = {};  // it is counted in another group from now on
-      backend->work_until = now;
     }
     backend->info = instance;
     backend->listed = true;
@@ -71,6 +71,32 @@
   return found == groups_.end() ? nullptr : &found->second;
 }
 
+std::vector<wire::BackendLoad> BackendTable::ReportLoads() {
+  std::vector<wire::BackendLoad> loads;
+  for (const auto& [id, backend] : by_id_) {
+    backend->reported_reading_ms = static_cast<std::uint32_t>(backend->reading_ms);
+    backend->reported_running = static_cast<std::uint32_t>(backend->in_flight);
+    if (backend->reported_reading_ms == 0 && backend->reported_running == 0) continue;
+    loads.push_back({backend->id_hash, backend->reported_reading_ms, backend->reported_running});
+  }
+  return loads;
+}
+
+void BackendTable::TakeLoads(const std::vector<wire::BackendLoad>& loads, TimePoint now) {
+  std::unordered_map<std::uint64_t, const wire::BackendLoad*> by_hash;
+  for (const wire::BackendLoad& load : loads) by_hash[load.backend] = &load;
+  for (const auto& [id, backend] : by_id_) {
+    const auto found = by_hash.find(backend->id_hash);
+    const wire::BackendLoad all = found == by_hash.end() ? wire::BackendLoad{} : *found->second;
+    const auto others = [](std::uint32_t sum, std::uint32_t own) { return sum > own ? sum - own : 0; };
+    backend->others_reading_ms = others(all.reading_ms, backend->reported_reading_ms);
+    backend->others_running = static_cast<int>(others(all.running, backend->reported_running));
+  }
+  loads_at_ = now;
+}
+
+bool BackendTable::KnowsLoads(TimePoint now) const { return now - loads_at_ < kLoadsAreOld; }
+
 bool BackendTable::IsSplit(const std::string& service) const {
   return Find(service, Stage::kPrefill) != nullptr || Find(service, Stage::kDecode) != nullptr;
 }
--- a/src/data_plane/backend_table.h
+++ b/src/data_plane/backend_table.h
@@ -28,7 +28,7 @@
  public:
   explicit BackendTable(std::uint64_t seed) : random_(seed) {}
 
-  void Update(const wire::InstanceList& list, TimePoint now);
+  void Update(const wire::InstanceList& list);
   // Ends ejections whose time is over, and intervals.
   void Tick(TimePoint now);
 
@@ -42,12 +42,20 @@
   bool IsSplit(const std::string& service) const;
   std::size_t size() const { return by_id_.size(); }
 
+  // The work of this proxy that other proxies should know of; remembers what it told.
+  std::vector<wire::BackendLoad> ReportLoads();
+  // The work of all proxies.
+  void TakeLoads(const std::vector<wire::BackendLoad>& loads, TimePoint now);
+  // Whether the work of others is known well enough to go by.
+  bool KnowsLoads(TimePoint now) const;
+
  private:
   using Key = std::pair<std::string, Stage>;
 
   std::unordered_map<std::string, BackendPtr> by_id_;
   std::map<Key, Group> groups_;
   TimePoint interval_ends_{};
+  TimePoint loads_at_{};
   brackenspoke::Random random_;
 };
 
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -13,7 +13,8 @@
 
 using namespace http;
 
-constexpr milliseconds kTick{100};
+constexpr milliseconds kTick{50};
+constexpr milliseconds kRepeatLoadsEvery{500};  // where they don't change
 // The platform asks every second and takes a process out after two refusals.
 constexpr milliseconds kServeOnAfterTerm{3200};
 constexpr milliseconds kGraceMargin{700};
@@ -29,7 +30,8 @@
       settings_(settings),
       state_(io, settings_, seed),
       subscriber_(io, settings_, [this] { return Subscriber::Have{version_, instances_revision_}; },
-                  [this](const wire::Publication& publication) { Take(publication); }),
+                  [this](const wire::Publication& publication) { Take(publication); },
+                  [this](const wire::LoadSummary& summary) { state_.backends.TakeLoads(summary.loads, DecisionTime()); }),
       ready_server_(io, [this](ApiRequest request) { return Readiness(std::move(request)); }),
       acceptor_(io),
       reader_(io, settings.cloud.value_or(node::Endpoint{})),
@@ -109,6 +111,7 @@
     state_.backends.Tick(DecisionTime());
     state_.pool.Tick();
     subscriber_.Tick();
+    ReportLoads();
     if (state_.draining) TickDrain();
     const auto now = steady_clock::now();
     if (settings_.cloud && !reading_ && now - std::max(instances_read_, started_) > kListTooOld &&
@@ -120,6 +123,15 @@
   });
 }
 
+void EdgeNode::ReportLoads() {
+  auto loads = state_.backends.ReportLoads();
+  const auto now = steady_clock::now();
+  if (loads == reported_loads_ && now < next_load_report_) return;
+  next_load_report_ = now + kRepeatLoadsEvery;
+  subscriber_.Report(wire::LoadReport{loads});
+  reported_loads_ = std::move(loads);
+}
+
 // Nobody passes the list on: this proxy reads it itself, at times that differ from other proxies'.
 Awaitable<void> EdgeNode::ReadListIfForgotten() {
   const auto spread = milliseconds(static_cast<std::int64_t>(state_.random.Below(400)));
@@ -129,7 +141,7 @@
   if (!instances) co_return;
   wire::InstanceList list;
   list.instances = std::move(*instances);
-  state_.backends.Update(list, DecisionTime());
+  state_.backends.Update(list);
   know_backends_ = true;
   instances_revision_ = 0;  // whatever the control plane has next is taken
   instances_read_ = steady_clock::now();
@@ -141,7 +153,7 @@
   const auto read_at = steady_clock::now() - milliseconds(publication.instances_age_ms);
   if (publication.instances && publication.instances->revision > instances_revision_ &&
       (instances_revision_ > 0 || read_at > instances_read_)) {
-    state_.backends.Update(*publication.instances, DecisionTime());
+    state_.backends.Update(*publication.instances);
     instances_revision_ = publication.instances->revision;
     know_backends_ = true;
   }
--- a/src/data_plane/edge_node.h
+++ b/src/data_plane/edge_node.h
@@ -32,6 +32,7 @@
   Awaitable<void> Accept();
   Awaitable<void> Serve(http::Tcp::socket socket);
   void ScheduleTick();
+  void ReportLoads();
   void TickDrain();
   void Take(const wire::Publication& publication);
   void TakeConfiguration(const wire::Publication& publication);
@@ -54,6 +55,8 @@
   std::uint64_t instances_revision_ = 0;
   steady_clock::time_point instances_read_{};
   steady_clock::time_point next_own_reading_{};
+  std::vector<wire::BackendLoad> reported_loads_;
+  steady_clock::time_point next_load_report_{};
   bool reading_ = false;
   bool know_backends_ = false;
 
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -14,8 +14,6 @@
 
 constexpr milliseconds kDrainPatience{200};
 constexpr std::size_t kLongestReceipt = 64 * 1024;
-// Reading a prompt at its own backend and handing it over costs this much more than one backend for both.
-constexpr double kHandOverMs = 25;
 // A prompt that is not read after this much more than it should take is read elsewhere.
 constexpr double kPrefillPatienceFactor = 3;
 constexpr double kPrefillPatienceMs = 1200;
@@ -78,7 +76,7 @@
     const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
     if (!whole.backend) break;
-    const bool split = reader.backend && reader.cost_ms + kHandOverMs < whole.cost_ms;
+    const bool split = reader.backend && reader.cost_ms < whole.cost_ms;
     std::optional<ReadPrompt> read;
     BackendPtr target = whole.backend;
     std::string fields = PriorityField();
@@ -100,11 +98,12 @@
       }
       target = decode.backend;
       fields += "Kv-From: " + read->source->info.address + "/" + read->handle + "\r\n";
-    } else {
-      state_.placement.NoteReading(*target, prompt_, whole.work_ms, now);
     }
+    std::optional<ReadingUnderWay> reading;
+    if (!split) reading.emplace(target, prompt_, whole.work_ms, now);
     Attempt attempt(state_, target);
     const AttemptEnd end = co_await Send(attempt, fields, give_up_at_);
+    reading.reset();
     if (end == AttemptEnd::kAnswered) {
       ++may_have_run_;
       co_return co_await PassOn(attempt);
@@ -121,10 +120,10 @@
 }
 
 Awaitable<std::optional<RequestFlow::ReadPrompt>> RequestFlow::Prefill(Pick pick) {
-  state_.placement.NoteReading(*pick.backend, prompt_, pick.work_ms, DecisionTime());
+  const ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, DecisionTime());
   Attempt attempt(state_, pick.backend);
   const auto until =
-      std::min(give_up_at_, kestrelline::data_plane::After(pick.cost_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
+      std::min(give_up_at_, kestrelline::data_plane::After(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
   const AttemptEnd end = co_await Send(attempt, "Serving-Stage: prefill\r\n" + PriorityField(), until);
   if (end != AttemptEnd::kAnswered && end != AttemptEnd::kNotExecuted) co_return std::nullopt;
   std::string body;
@@ -145,11 +144,13 @@
     const TimePoint now = DecisionTime();
     const Pick pick = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     if (!pick.backend) break;
-    state_.placement.NoteReading(*pick.backend, prompt_, pick.work_ms, now);
+    std::optional<ReadingUnderWay> reading;
+    reading.emplace(pick.backend, prompt_, pick.work_ms, now);
     std::string fields = PriorityField();
     if (!events_.last_id().empty()) fields += "Last-Event-Id: " + events_.last_id() + "\r\n";
     Attempt attempt(state_, pick.backend);
     const AttemptEnd end = co_await Send(attempt, fields, give_up_at_);
+    reading.reset();
     excluded_.push_back(pick.backend.get());
     if (end == AttemptEnd::kNotSent || end == AttemptEnd::kNotExecuted) continue;
     ++may_have_run_;
--- a/src/data_plane/placement.cpp
+++ b/src/data_plane/placement.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kHintFadesMs = 800;  // what a backend said of others' requests halves within this
-constexpr double kMeanGain = 0.05;
+constexpr double kReadingGuessMs = 20;  // of another proxy's request, where only its number is known
 
 double Ms(Duration span) { return span.count(); }
 
@@ -53,13 +53,13 @@
   return best;
 }
 
-double Placement::QueueMs(const Backend& backend, TimePoint now) const {
-  const double own = std::max(0.0, Ms(backend.work_until - now));
-  return own + OthersAt(backend, now) * mean_work_ms_ * 0.5;
+double Placement::WaitMs(const Backend& backend, TimePoint now) const {
+  if (table_.KnowsLoads(now)) return backend.reading_ms + backend.others_reading_ms;
+  return backend.reading_ms + OthersAt(backend, now) * kReadingGuessMs;
 }
 
 double Placement::Running(const Backend& backend, TimePoint now) const {
-  return backend.in_flight + OthersAt(backend, now);
+  return backend.in_flight + (table_.KnowsLoads(now) ? backend.others_running : OthersAt(backend, now));
 }
 
 // The same chain of shared parts prefers the same backend at every proxy, without their asking one another.
@@ -78,23 +78,32 @@
   return preferred;
 }
 
-std::int64_t Placement::CachedTokens(const Backend& backend, const Prompt& prompt, bool preferred,
-                                     TimePoint now) const {
+Placement::Reading Placement::ReadingAt(const Backend& backend, const Prompt& prompt, bool preferred, double pace,
+                                         TimePoint now) const {
+  constexpr double kMillion = 1e6;
   const TimePoint since = now - Duration(model_.parts_kept_ms);
   std::int64_t cached = 0;
+  std::int64_t again = 0;
   for (std::size_t i = 0; i < prompt.SharedParts(); ++i) {
-    if (!preferred && !backend.parts.Has(prompt.parts[i].chain, since)) break;
-    cached += prompt.parts[i].tokens;
+    const bool kept = again == 0 && (preferred || backend.parts.Has(prompt.parts[i].chain, since));
+    (kept ? cached : again) += prompt.parts[i].tokens;
   }
-  return cached;
+  const auto whole = static_cast<double>(prompt.tokens);
+  const auto kept = static_cast<double>(cached);
+  const double pairs = (whole * whole - kept * kept) / 2 / kMillion;
+  const double pace_share = pace / model_.prefill_tokens_per_ms;
+  Reading reading;
+  reading.work_ms = (whole - kept) / pace + pairs * model_.pair_ms_per_million / pace_share;
+  reading.again_ms = static_cast<double>(again) * model_.again_ms_per_token;
+  return reading;
 }
 
 Pick Placement::PickPlain(const std::string& service, const Excluded& excluded, TimePoint now) {
+  constexpr double kOtherZone = 0.25;  // of a backend's slots
   return Least(table_.Find(service, Stage::kAny), excluded, [&](const BackendPtr& backend) {
     const double slots = std::max(1u, backend->info.slots);
-    const double load = Running(*backend, now) / slots;
-    const double zone = backend->info.zone == zone_ ? 0 : 0.25;
-    return Pick{backend, load + zone, 0};
+    const double zone = backend->info.zone == zone_ ? 0 : kOtherZone;
+    return Pick{backend, Running(*backend, now) / slots + zone, 0, 0};
   });
 }
 
@@ -102,11 +111,13 @@
                             TimePoint now) {
   const Group* group = table_.Find(service, Stage::kPrefill);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
+  const bool home = prompt.tokens > model_.home_tokens;
   return Least(group, excluded, [&](const BackendPtr& backend) {
-    const auto cached = CachedTokens(*backend, prompt, backend.get() == preferred, now);
-    const double work = static_cast<double>(prompt.tokens - cached) / model_.prefill_tokens_per_ms;
+    const Reading reading =
+        ReadingAt(*backend, prompt, home && backend.get() == preferred, model_.prefill_tokens_per_ms, now);
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    return Pick{backend, QueueMs(*backend, now) + work + zone, work};
+    const double ready = WaitMs(*backend, now) + reading.work_ms + zone;
+    return Pick{backend, ready + reading.again_ms + model_.hand_over_ms, reading.work_ms, ready};
   });
 }
 
@@ -117,35 +128,38 @@
     const double full = running >= backend->info.slots ? model_.full_ms : 0;
     const double move = backend->info.zone == source.info.zone ? 0 : model_.move_other_zone_ms;
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    return Pick{backend, QueueMs(*backend, now) + running * model_.running_ms + full + move + zone, 0};
+    const double ready = WaitMs(*backend, now) * 0.5 + running * model_.running_ms + full + move + zone;
+    return Pick{backend, ready, 0, ready};
   });
 }
 
 Pick Placement::PickWhole(const std::string& service, const Prompt& prompt, const Excluded& excluded,
                           TimePoint now) {
-  const Stage stage = table_.IsSplit(service) ? Stage::kDecode : Stage::kAny;
-  const Group* group = table_.Find(service, stage);
+  const bool split = table_.IsSplit(service);
+  const Group* group = table_.Find(service, split ? Stage::kDecode : Stage::kAny);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
-  const double pace = model_.prefill_tokens_per_ms * (stage == Stage::kDecode ? model_.decode_share : 1);
+  const bool home = !split || prompt.tokens <= model_.home_tokens;
+  const double pace = model_.prefill_tokens_per_ms * (split ? model_.decode_share : 1);
   return Least(group, excluded, [&](const BackendPtr& backend) {
-    const auto cached = CachedTokens(*backend, prompt, backend.get() == preferred, now);
-    const double work = static_cast<double>(prompt.tokens - cached) / pace;
+    const Reading reading = ReadingAt(*backend, prompt, home && backend.get() == preferred, pace, now);
     const double running = Running(*backend, now);
     const double full = running >= backend->info.slots ? model_.full_ms : 0;
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    const double own_queue = std::max(0.0, Ms(backend->work_until - now));
-    return Pick{backend, own_queue + running * model_.running_ms + work + full + zone, work};
+    const double ready = WaitMs(*backend, now) + running * model_.running_ms + reading.work_ms + full + zone;
+    return Pick{backend, ready + reading.again_ms, reading.work_ms, ready};
   });
 }
 
-void Placement::NoteReading(Backend& backend, const Prompt& prompt, double work_ms, TimePoint now) {
-  backend.work_until = std::max(backend.work_until, now) + Duration(work_ms);
-  mean_work_ms_ += kMeanGain * (work_ms - mean_work_ms_);
-  for (std::size_t i = 0; i < prompt.SharedParts(); ++i) backend.parts.Note(prompt.parts[i].chain, now);
+ReadingUnderWay::ReadingUnderWay(BackendPtr backend, const Prompt& prompt, double work_ms, TimePoint now)
+    : backend_(std::move(backend)), work_ms_(work_ms) {
+  backend_->reading_ms += work_ms_;
+  for (std::size_t i = 0; i < prompt.SharedParts(); ++i) backend_->parts.Note(prompt.parts[i].chain, now);
 }
 
-void Placement::NoteRead(Backend& backend, TimePoint now) {
-  if (backend.in_flight == 0) backend.work_until = std::min(backend.work_until, now);
+void ReadingUnderWay::End() {
+  if (!backend_) return;
+  backend_->reading_ms = std::max(0.0, backend_->reading_ms - work_ms_);
+  backend_ = nullptr;
 }
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/placement.h
+++ b/src/data_plane/placement.h
@@ -18,20 +18,25 @@
 
 struct Pick {
   BackendPtr backend;   // null: none is in service
-  double cost_ms = 0;   // until it should have read the prompt, or as it compares
-  double work_ms = 0;   // of that, the reading itself
+  double cost_ms = 0;   // as it compares
+  double work_ms = 0;   // the reading itself
+  double ready_ms = 0;  // until the prompt should have been read
 };
 
-// How backends behave, where nothing else is known.
+// How backends behave, and what is worth how much, where nothing else is known. docs/design/placement.md has the
+// reasons for the figures.
 struct EngineModel {
-  double prefill_tokens_per_ms = 100;
-  double decode_share = 0.5;      // a decode backend reads prompts at this part of the pace
-  double first_token_ms = 50;
-  double running_ms = 0.6;        // what one more running request is worth
-  double other_zone_ms = 4;       // request and answer cross between zones
-  double move_other_zone_ms = 14; // the KV cache crosses between zones
-  double full_ms = 250;           // all slots are taken
-  double parts_kept_ms = 20000;   // a part that was used this recently is taken to be cached
+  double prefill_tokens_per_ms = 112;
+  double pair_ms_per_million = 0.154;  // reading grows with the square of the prompt besides
+  double decode_share = 0.5;           // a decode backend reads prompts at this part of the pace
+  double running_ms = 0.6;             // what one more running request is worth
+  double other_zone_ms = 4;            // request and answer cross between zones
+  double move_other_zone_ms = 14;      // the KV cache crosses between zones
+  double hand_over_ms = 30;            // reading at one backend and generating at another, against one for both
+  double full_ms = 250;                // all slots are taken
+  double again_ms_per_token = 0.05;    // shared parts that another backend has are read once more
+  std::int64_t home_tokens = 4096;     // prompts up to this size are read where they are generated
+  double parts_kept_ms = 20000;        // a part that was used this recently is taken to be cached
 };
 
 class Placement {
@@ -48,15 +53,15 @@
   // Who reads and generates by itself.
   Pick PickWhole(const std::string& service, const Prompt& prompt, const Excluded& excluded, TimePoint now);
 
-  // The prompt's reading was handed to the backend.
-  void NoteReading(Backend& backend, const Prompt& prompt, double work_ms, TimePoint now);
-  // It was read, or will not be.
-  void NoteRead(Backend& backend, TimePoint now);
-
  private:
-  double QueueMs(const Backend& backend, TimePoint now) const;
+  double WaitMs(const Backend& backend, TimePoint now) const;
   double Running(const Backend& backend, TimePoint now) const;
-  std::int64_t CachedTokens(const Backend& backend, const Prompt& prompt, bool preferred, TimePoint now) const;
+  // The cost of reading the prompt there.
+  struct Reading {
+    double work_ms = 0;
+    double again_ms = 0;  // the price of shared parts that are cached elsewhere
+  };
+  Reading ReadingAt(const Backend& backend, const Prompt& prompt, bool preferred, double pace, TimePoint now) const;
   const Backend* Preferred(const Group& group, const Prompt& prompt) const;
   template <typename Cost>
   Pick Least(const Group* group, const Excluded& excluded, Cost cost);
@@ -65,7 +70,20 @@
   std::string zone_;
   EngineModel model_;
   brackenspoke::Random random_;
-  double mean_work_ms_ = 40;  // of a prompt, as sent lately
+};
+
+// A prompt that is being read somewhere: counts as the backend's work until it ends.
+class ReadingUnderWay {
+ public:
+  ReadingUnderWay(BackendPtr backend, const Prompt& prompt, double work_ms, TimePoint now);
+  ~ReadingUnderWay() { End(); }
+  ReadingUnderWay(const ReadingUnderWay&) = delete;
+  ReadingUnderWay& operator=(const ReadingUnderWay&) = delete;
+  void End();
+
+ private:
+  BackendPtr backend_;
+  double work_ms_;
 };
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -20,8 +20,12 @@
 }  // namespace
 
 Subscriber::Subscriber(asio::io_context& io, const node::Settings& settings, std::function<Have()> have,
-                       OnPublication on_publication)
-    : io_(io), settings_(settings), have_(std::move(have)), on_publication_(std::move(on_publication)) {
+                       OnPublication on_publication, OnLoads on_loads)
+    : io_(io),
+      settings_(settings),
+      have_(std::move(have)),
+      on_publication_(std::move(on_publication)),
+      on_loads_(std::move(on_loads)) {
   for (const node::Endpoint& seed : settings.seeds) peers_.push_back(seed.ip);
   std::shuffle(peers_.begin(), peers_.end(), std::mt19937(std::random_device{}()));
 }
@@ -75,6 +79,7 @@
   const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
     if (&connection != connection_.get()) return;
     if (const auto* publication = std::get_if<wire::Publication>(&message.body)) Take(*publication);
+    if (const auto* loads = std::get_if<wire::LoadSummary>(&message.body)) on_loads_(*loads);
   };
   connection_ = std::make_shared<mesh::Connection>(std::move(socket), on_message, nullptr);
   connection_->Start();
@@ -83,6 +88,11 @@
   connection_->Send(std::make_shared<const std::string>(wire::EncodeFrame({settings_.ip, subscribe})));
 }
 
+void Subscriber::Report(const wire::LoadReport& report) {
+  if (!connection_ || !connection_->open()) return;
+  connection_->Send(std::make_shared<const std::string>(wire::EncodeFrame({settings_.ip, report})));
+}
+
 void Subscriber::Take(const wire::Publication& publication) {
   heard_at_ = steady_clock::now();
   fresh_ = publication.certain && milliseconds(publication.age_ms) < kOldest;
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -25,13 +25,17 @@
   };
   using OnPublication = std::function<void(const wire::Publication&)>;
 
+  using OnLoads = std::function<void(const wire::LoadSummary&)>;
+
   Subscriber(http::asio::io_context& io, const node::Settings& settings, std::function<Have()> have,
-             OnPublication on_publication);
+             OnPublication on_publication, OnLoads on_loads);
 
   void Start();
   void Stop();
   // Every 100 ms or so: leaves a member that is silent or out of contact.
   void Tick();
+  // To the member that is subscribed to; dropped if there is none.
+  void Report(const wire::LoadReport& report);
 
  private:
   void Next();
@@ -42,6 +46,7 @@
   const node::Settings& settings_;
   std::function<Have()> have_;
   OnPublication on_publication_;
+  OnLoads on_loads_;
   std::vector<std::string> peers_;
   std::size_t next_peer_ = 0;
   std::shared_ptr<http::Tcp::socket> connecting_;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -155,6 +155,37 @@
   return true;
 }
 
+// --- loads ---
+
+bool WriteLoads(pb_ostream_t* stream, const pb_field_t* field, void* const* argument) {
+  for (const BackendLoad& load : *static_cast<const std::vector<BackendLoad>*>(*argument)) {
+    const kestrelline_wire_BackendLoad raw{load.backend, load.reading_ms, load.running};
+    if (!pb_encode_tag_for_field(stream, field)) return false;
+    if (!pb_encode_submessage(stream, kestrelline_wire_BackendLoad_fields, &raw)) return false;
+  }
+  return true;
+}
+
+bool ReadLoads(pb_istream_t* stream, const pb_field_t*, void** argument) {
+  kestrelline_wire_BackendLoad raw = kestrelline_wire_BackendLoad_init_zero;
+  if (!pb_decode(stream, kestrelline_wire_BackendLoad_fields, &raw)) return false;
+  static_cast<std::vector<BackendLoad>*>(*argument)->push_back({raw.backend, raw.reading_ms, raw.running});
+  return true;
+}
+
+pb_callback_t Writing(const std::vector<BackendLoad>& loads) {
+  pb_callback_t callback{};
+  callback.funcs.encode = WriteLoads;
+  callback.arg = const_cast<std::vector<BackendLoad>*>(&loads);
+  return callback;
+}
+pb_callback_t Reading(std::vector<BackendLoad>& loads) {
+  pb_callback_t callback{};
+  callback.funcs.decode = ReadLoads;
+  callback.arg = &loads;
+  return callback;
+}
+
 kestrelline_wire_InstanceList Raw(const InstanceList& list) {
   kestrelline_wire_InstanceList raw = kestrelline_wire_InstanceList_init_zero;
   raw.revision = list.revision;
@@ -185,7 +216,7 @@
 }
 void Put(RawEnvelope& raw, const VoteRequest& request) {
   raw.has_vote_request = true;
-  raw.vote_request = {request.epoch, request.trial, true, Raw(request.held)};
+  raw.vote_request = {request.epoch, request.trial, true, Raw(request.held), request.waive_silence};
 }
 void Put(RawEnvelope& raw, const VoteReply& reply) {
   raw.has_vote_reply = true;
@@ -193,6 +224,8 @@
   raw.vote_reply.trial = reply.trial;
   raw.vote_reply.granted = reply.granted;
   raw.vote_reply.promised = reply.promised;
+  raw.vote_reply.silent = reply.silent;
+  raw.vote_reply.leading = reply.leading;
   raw.vote_reply.has_record = reply.record != nullptr;
   if (reply.record) raw.vote_reply.record = Raw(*reply.record);
 }
@@ -247,6 +280,15 @@
   raw.publication.instances_age_ms = publication.instances_age_ms;
 }
 
+void Put(RawEnvelope& raw, const LoadReport& report) {
+  raw.has_load_report = true;
+  raw.load_report.loads = Writing(report.loads);
+}
+void Put(RawEnvelope& raw, const LoadSummary& summary) {
+  raw.has_load_summary = true;
+  raw.load_summary.loads = Writing(summary.loads);
+}
+
 template <typename Raw>
 std::string EncodeRaw(const pb_msgdesc_t* fields, const Raw& raw, std::size_t room_before) {
   std::size_t size = 0;
@@ -265,6 +307,8 @@
   InstanceList instances, published_instances;
   Subscribe subscribe;
   Publication publication;
+  LoadReport load_report;
+  LoadSummary load_summary;
 };
 
 RecordPtr Shared(bool present, const kestrelline_wire_Record& raw, Record& record) {
@@ -291,12 +335,13 @@
 Body TakeBody(const RawEnvelope& raw, Parts& parts) {
   if (raw.has_hello) return Hello{raw.hello.counts_for_quorum, raw.hello.incarnation};
   if (raw.has_vote_request) {
-    return VoteRequest{raw.vote_request.epoch, raw.vote_request.trial, Cooked(raw.vote_request.held)};
+    return VoteRequest{raw.vote_request.epoch, raw.vote_request.trial, Cooked(raw.vote_request.held),
+                       raw.vote_request.waive_silence};
   }
   if (raw.has_vote_reply) {
     const auto& reply = raw.vote_reply;
     return VoteReply{reply.epoch, reply.trial, reply.granted, reply.promised,
-                     Shared(reply.has_record, reply.record, parts.vote_record)};
+                     Shared(reply.has_record, reply.record, parts.vote_record), reply.silent, reply.leading};
   }
   if (raw.has_heartbeat) {
     const auto& beat = raw.heartbeat;
@@ -326,6 +371,8 @@
     return std::move(parts.subscribe);
   }
   if (raw.has_publication) return FinishPublication(raw.publication, parts);
+  if (raw.has_load_report) return std::move(parts.load_report);
+  if (raw.has_load_summary) return std::move(parts.load_summary);
   return std::monostate{};
 }
 
@@ -366,6 +413,8 @@
   raw.publication.configuration = Reading(parts.publication.configuration);
   raw.publication.control_peers = Reading(parts.publication.control_peers);
   PrepareToRead(raw.publication.instances, parts.published_instances);
+  raw.load_report.loads = Reading(parts.load_report.loads);
+  raw.load_summary.loads = Reading(parts.load_summary.loads);
   // PB_DECODE_NOINIT: the callbacks set above must survive; all other fields are zero already.
   pb_istream_t stream =
       pb_istream_from_buffer(reinterpret_cast<const pb_byte_t*>(bytes.data()), bytes.size());
--- a/src/wire/fleet.pb.c
+++ b/src/wire/fleet.pb.c
@@ -51,6 +51,15 @@
 PB_BIND(kestrelline_wire_Publication, kestrelline_wire_Publication, AUTO)
 
 
+PB_BIND(kestrelline_wire_BackendLoad, kestrelline_wire_BackendLoad, AUTO)
+
+
+PB_BIND(kestrelline_wire_LoadReport, kestrelline_wire_LoadReport, AUTO)
+
+
+PB_BIND(kestrelline_wire_LoadSummary, kestrelline_wire_LoadSummary, AUTO)
+
+
 PB_BIND(kestrelline_wire_Envelope, kestrelline_wire_Envelope, 2)
 
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -55,6 +55,7 @@
   std::uint64_t epoch = 0;
   bool trial = false;  // asks whether a vote would be granted; binds nobody
   Position held;
+  bool waive_silence = false;  // every elector said that it does not lead
 };
 struct VoteReply {
   std::uint64_t epoch = 0;
@@ -62,6 +63,8 @@
   bool granted = false;
   std::uint64_t promised = 0;
   RecordPtr record;  // null unless newer than what the candidate holds
+  bool silent = false;   // the voter restarted lately and may have supported a leader before
+  bool leading = false;
 };
 struct Heartbeat {
   std::uint64_t epoch = 0;
@@ -131,8 +134,22 @@
   std::uint32_t instances_age_ms = 0;      // since that list was read
 };
 
+// Work that proxies have sent to a backend and that is not done yet.
+struct BackendLoad {
+  std::uint64_t backend = 0;  // hash of its id
+  std::uint32_t reading_ms = 0;
+  std::uint32_t running = 0;
+  bool operator==(const BackendLoad&) const = default;
+};
+struct LoadReport {
+  std::vector<BackendLoad> loads;
+};
+struct LoadSummary {
+  std::vector<BackendLoad> loads;
+};
+
 using Body = std::variant<std::monostate, Hello, VoteRequest, VoteReply, Heartbeat, HeartbeatReply, Append, LearnRequest,
-                          LearnReply, InstanceList, Subscribe, Publication>;
+                          LearnReply, InstanceList, Subscribe, Publication, LoadReport, LoadSummary>;
 
 struct Message {
   std::string sender;  // the sender's IP address, its name within the fleet
