--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -76,7 +76,8 @@
     const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
     if (!whole.backend) break;
-    const bool split = reader.backend && reader.cost_ms < whole.cost_ms;
+    // A request that tells no prompt has nothing to be read apart: a prefill backend would run it.
+    const bool split = prompt_.tokens > 0 && reader.backend && reader.cost_ms < whole.cost_ms;
     std::optional<ReadPrompt> read;
     BackendPtr target = whole.backend;
     std::string fields = PriorityField();
@@ -88,7 +89,7 @@
       }
       if (!read) {
         excluded_.push_back(reader.backend.get());
-        if (!TakeBudget()) break;
+        if ((may_have_run_ > 0 && !MayRunAgain()) || !TakeBudget()) break;
         continue;
       }
       const Pick decode = state_.placement.PickDecode(service_, *read->source, excluded_, DecisionTime());
@@ -134,7 +135,10 @@
   attempt.Finish();
   if (end == AttemptEnd::kNotExecuted || attempt.head().result() != bhttp::status::ok) co_return std::nullopt;
   auto receipt = ParseReceipt(body);
-  if (!receipt) co_return std::nullopt;
+  if (!receipt) {
+    ++may_have_run_;  // whatever this was, it was no reading
+    co_return std::nullopt;
+  }
   co_return ReadPrompt{pick.backend, std::move(receipt->handle), std::move(receipt->version)};
 }
 
