--- a/src/data_plane/placement.cpp
+++ b/src/data_plane/placement.cpp
@@ -111,10 +111,9 @@
                             TimePoint now) {
   const Group* group = table_.Find(service, Stage::kPrefill);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
-  const bool home = prompt.tokens > model_.home_tokens;
   return Least(group, excluded, [&](const BackendPtr& backend) {
     const Reading reading =
-        ReadingAt(*backend, prompt, home && backend.get() == preferred, model_.prefill_tokens_per_ms, now);
+        ReadingAt(*backend, prompt, backend.get() == preferred, model_.prefill_tokens_per_ms, now);
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
     const double ready = WaitMs(*backend, now) + reading.work_ms + zone;
     return Pick{backend, ready + reading.again_ms + model_.hand_over_ms, reading.work_ms, ready};
@@ -138,15 +137,16 @@
   const bool split = table_.IsSplit(service);
   const Group* group = table_.Find(service, split ? Stage::kDecode : Stage::kAny);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
-  const bool home = !split || prompt.tokens <= model_.home_tokens;
   const double pace = model_.prefill_tokens_per_ms * (split ? model_.decode_share : 1);
   return Least(group, excluded, [&](const BackendPtr& backend) {
-    const Reading reading = ReadingAt(*backend, prompt, home && backend.get() == preferred, pace, now);
+    const Reading reading = ReadingAt(*backend, prompt, !split && backend.get() == preferred, pace, now);
     const double running = Running(*backend, now);
     const double full = running >= backend->info.slots ? model_.full_ms : 0;
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
     const double ready = WaitMs(*backend, now) + running * model_.running_ms + reading.work_ms + full + zone;
-    return Pick{backend, ready + reading.again_ms, reading.work_ms, ready};
+    // While it reads, the streams that it generates wait.
+    const double held_up = split ? running * reading.work_ms * model_.stream_share : 0;
+    return Pick{backend, ready + reading.again_ms + held_up, reading.work_ms, ready};
   });
 }
 
