Stages move with the mix: the leader's fenced orders, planned from what clients ask

Cause: 7 of 18 backends read prompts where the load wants 12; decode backends took the overflow and their streams missed their deadlines. Change: proxies report demand, StagePlanner (pure) decides, the leader orders with its epoch as the fence, not before lease_ms after it began to lead; moving backends are picked by nobody.

--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -8,6 +8,8 @@
 #include <random>
 #include <utility>
 
+#include "control_plane/stage_orders.h"
+
 namespace kestrelline::control_plane {
 namespace {
 
@@ -18,6 +20,8 @@
 constexpr milliseconds kRepeatLoadsEvery{500};  // where they don't change
 constexpr milliseconds kReadListEvery{500};
 constexpr milliseconds kLeadPoll{100};
+constexpr milliseconds kPlanEvery{400};
+constexpr milliseconds kOrderMargin{600};
 constexpr int kEpochShift = 32;  // a list's revision: the leader's epoch, then a count
 
 Time Now() { return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch()); }
@@ -114,7 +118,7 @@
   }
   if (const auto* list = std::get_if<wire::InstanceList>(&message.body)) return OnInstances(*list);
   if (auto* report = std::get_if<wire::LoadReport>(&message.body)) {
-    return OnLoads(message.sender, std::move(report->loads));
+    return OnLoads(message.sender, std::move(*report));
   }
   replica_.Receive(Now(), message.sender, message.body);
   Pump();
@@ -129,34 +133,68 @@
   PublishIfChanged();
 }
 
-void ControlNode::OnLoads(const std::string& from, std::vector<wire::BackendLoad> loads) {
+void ControlNode::OnLoads(const std::string& from, wire::LoadReport report) {
   const auto members = replica_.KnownNodes();
   if (std::find(members.begin(), members.end(), from) != members.end()) {
-    loads_.ReportFromMember(Now(), from, std::move(loads));
+    loads_.ReportFromMember(Now(), from, std::move(report));
   } else {
-    loads_.ReportFromProxy(Now(), from, std::move(loads));
+    loads_.ReportFromProxy(Now(), from, std::move(report));
   }
 }
 
 // Every tick: what the proxies here have sent goes to the other members, the sum of all to the proxies here.
 void ControlNode::ShareLoads() {
   loads_.Forget(Now());
-  auto here = loads_.Here();
+  const wire::LoadReport here = loads_.Here();
   const bool repeat = Now() >= next_load_report_;
   if (repeat) next_load_report_ = Now() + kRepeatLoadsEvery;
-  if (here != loads_to_members_ || (repeat && !here.empty())) {
+  if (here.loads != loads_to_members_ || (repeat && !here.demands.empty())) {
     for (const std::string& node : replica_.KnownNodes()) {
-      if (node != settings_.ip) mesh_.Send(node, wire::LoadReport{here});
+      if (node != settings_.ip) mesh_.Send(node, here);
     }
-    loads_to_members_ = std::move(here);
+    loads_to_members_ = here.loads;
   }
-  auto everywhere = loads_.Everywhere();
+  auto everywhere = loads_.Everywhere().loads;
   if (everywhere != loads_to_proxies_ || repeat) {
     publisher_.SendToAll(wire::LoadSummary{everywhere});
     loads_to_proxies_ = std::move(everywhere);
   }
 }
 
+// Only the leader gives orders, and not before any order of the one before it is old enough for both not to count as
+// taking turns.
+void ControlNode::MoveStages() {
+  if (!Leads()) {
+    leading_since_.reset();
+    return;
+  }
+  if (!leading_since_) {
+    leading_since_ = Now();
+    planner_.Reset();
+  }
+  if (Now() - *leading_since_ < settings_.bounds.lease + kOrderMargin || Now() < next_plan_) return;
+  next_plan_ = Now() + kPlanEvery;
+  const auto demands = loads_.Everywhere().demands;
+  for (const wire::Demand& demand : demands) {
+    spdlog::debug("demand service={} reading_ms_per_s={} output_tokens_per_s={}", demand.service, demand.reading_ms_per_s,
+                  demand.output_tokens_per_s);
+  }
+  for (StageOrder& order : planner_.Plan(Now(), listed_, demands)) {
+    spdlog::info("order instance={} stage={}", order.instance,
+                 order.goal == StageGoal::kPrefill ? "prefill" : "decode");
+    asio::co_spawn(io_, Order(std::move(order)), asio::detached);
+  }
+}
+
+Awaitable<void> ControlNode::Order(StageOrder order) {
+  TakeList(listed_);  // no proxy picks it from now on
+  const std::string instance = order.instance;
+  const OrderEnd end = co_await GiveOrder(io_, std::move(order), settings_.node_name, replica_.epoch());
+  if (end != OrderEnd::kRefused) co_return;
+  spdlog::warn("order refused instance={}", instance);
+  planner_.Refused(instance);
+}
+
 // Carries out what the replica decided.
 void ControlNode::Pump() {
   for (Effect& effect : replica_.TakeEffects()) {
@@ -189,6 +227,7 @@
     replica_.Tick(Now());
     Pump();
     ShareLoads();
+    MoveStages();
     if (Now() >= next_publication_) {
       next_publication_ = Now() + kPublishEvery;
       publisher_.Publish(CurrentlyPublished());
@@ -237,6 +276,8 @@
 
 void ControlNode::TakeList(std::vector<wire::Instance> instances) {
   for (wire::Instance& instance : instances) instance.warmup_left_ms = 0;  // changes all the time; not used
+  listed_ = instances;
+  planner_.MarkMoving(Now(), instances);
   const std::uint64_t first = replica_.epoch() << kEpochShift;
   if (!instances_ || instances_->instances != instances || instances_->revision < first) {
     wire::InstanceList list;
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -15,6 +15,7 @@
 #include "control_plane/operator_api.h"
 #include "control_plane/publisher.h"
 #include "control_plane/replica.h"
+#include "control_plane/stage_planner.h"
 #include "control_plane/store.h"
 #include "discovery/list_reader.h"
 #include "http/api_server.h"
@@ -41,7 +42,7 @@
  private:
   void OnMessage(mesh::Connection& connection, wire::Message message);
   void OnInstances(const wire::InstanceList& list);
-  void OnLoads(const std::string& from, std::vector<wire::BackendLoad> loads);
+  void OnLoads(const std::string& from, wire::LoadReport report);
   void ShareLoads();
   void Pump();
   void LogRole();
@@ -49,6 +50,8 @@
   void PublishIfChanged();
   Published CurrentlyPublished() const;
   http::Awaitable<void> ReadListWhileLeading();
+  void MoveStages();
+  http::Awaitable<void> Order(StageOrder order);
   void TakeList(std::vector<wire::Instance> instances);
 
   http::asio::io_context& io_;
@@ -65,6 +68,10 @@
 
   LoadBoard loads_;
   std::vector<wire::BackendLoad> loads_to_members_;
+  StagePlanner planner_;
+  std::optional<Time> leading_since_;
+  Time next_plan_{0};
+  std::vector<wire::Instance> listed_;  // as the platform told last, without marks
   std::vector<wire::BackendLoad> loads_to_proxies_;
   Time next_load_report_{0};
 
--- a/src/control_plane/load_board.cpp
+++ b/src/control_plane/load_board.cpp
@@ -5,17 +5,17 @@
 
 namespace kestrelline::control_plane {
 
-void LoadBoard::Put(Reports& reports, Time now, const std::string& from, std::vector<wire::BackendLoad> loads) {
+void LoadBoard::Put(Reports& reports, Time now, const std::string& from, wire::LoadReport report) {
   if (!reports.contains(from) && reports.size() >= kMostReporters) return;
-  reports[from] = {now, std::move(loads)};
+  reports[from] = {now, std::move(report)};
 }
 
-void LoadBoard::ReportFromProxy(Time now, const std::string& proxy, std::vector<wire::BackendLoad> loads) {
-  Put(proxies_, now, proxy, std::move(loads));
+void LoadBoard::ReportFromProxy(Time now, const std::string& proxy, wire::LoadReport report) {
+  Put(proxies_, now, proxy, std::move(report));
 }
 
-void LoadBoard::ReportFromMember(Time now, const std::string& member, std::vector<wire::BackendLoad> loads) {
-  Put(members_, now, member, std::move(loads));
+void LoadBoard::ReportFromMember(Time now, const std::string& member, wire::LoadReport report) {
+  Put(members_, now, member, std::move(report));
 }
 
 void LoadBoard::Forget(Time now) {
@@ -24,22 +24,29 @@
   std::erase_if(members_, silent);
 }
 
-std::vector<wire::BackendLoad> LoadBoard::Sum(const std::vector<const Reports*>& sources) {
-  std::map<std::uint64_t, wire::BackendLoad> sums;
+wire::LoadReport LoadBoard::Sum(const std::vector<const Reports*>& sources) {
+  std::map<std::uint64_t, wire::BackendLoad> loads;
+  std::map<std::string, wire::Demand> demands;
   for (const Reports* reports : sources) {
-    for (const auto& [from, report] : *reports) {
-      for (const wire::BackendLoad& load : report.loads) {
-        wire::BackendLoad& sum = sums[load.backend];
+    for (const auto& [from, entry] : *reports) {
+      for (const wire::BackendLoad& load : entry.report.loads) {
+        wire::BackendLoad& sum = loads[load.backend];
         sum.backend = load.backend;
         sum.reading_ms += load.reading_ms;
         sum.running += load.running;
       }
+      for (const wire::Demand& demand : entry.report.demands) {
+        wire::Demand& sum = demands[demand.service];
+        sum.service = demand.service;
+        sum.reading_ms_per_s += demand.reading_ms_per_s;
+        sum.output_tokens_per_s += demand.output_tokens_per_s;
+      }
     }
   }
-  std::vector<wire::BackendLoad> loads;
-  loads.reserve(sums.size());
-  for (const auto& [backend, load] : sums) loads.push_back(load);
-  return loads;
+  wire::LoadReport sum;
+  for (const auto& [backend, load] : loads) sum.loads.push_back(load);
+  for (const auto& [service, demand] : demands) sum.demands.push_back(demand);
+  return sum;
 }
 
 }  // namespace kestrelline::control_plane
--- a/src/control_plane/load_board.h
+++ b/src/control_plane/load_board.h
@@ -20,24 +20,24 @@
   static constexpr Time kForgetAfter{1500};        // of a reporter that is silent
   static constexpr std::size_t kMostReporters = 1024;
 
-  void ReportFromProxy(Time now, const std::string& proxy, std::vector<wire::BackendLoad> loads);
-  void ReportFromMember(Time now, const std::string& member, std::vector<wire::BackendLoad> loads);
+  void ReportFromProxy(Time now, const std::string& proxy, wire::LoadReport report);
+  void ReportFromMember(Time now, const std::string& member, wire::LoadReport report);
   void Forget(Time now);
 
   // Of the proxies that report here.
-  std::vector<wire::BackendLoad> Here() const { return Sum({&proxies_}); }
+  wire::LoadReport Here() const { return Sum({&proxies_}); }
   // Of all proxies.
-  std::vector<wire::BackendLoad> Everywhere() const { return Sum({&proxies_, &members_}); }
+  wire::LoadReport Everywhere() const { return Sum({&proxies_, &members_}); }
 
  private:
   struct Report {
     Time at{0};
-    std::vector<wire::BackendLoad> loads;
+    wire::LoadReport report;
   };
   using Reports = std::map<std::string, Report>;
 
-  static void Put(Reports& reports, Time now, const std::string& from, std::vector<wire::BackendLoad> loads);
-  static std::vector<wire::BackendLoad> Sum(const std::vector<const Reports*>& sources);
+  static void Put(Reports& reports, Time now, const std::string& from, wire::LoadReport report);
+  static wire::LoadReport Sum(const std::vector<const Reports*>& sources);
 
   Reports proxies_;
   Reports members_;
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -128,7 +128,7 @@
   const auto now = steady_clock::now();
   if (loads == reported_loads_ && now < next_load_report_) return;
   next_load_report_ = now + kRepeatLoadsEvery;
-  subscriber_.Report(wire::LoadReport{loads});
+  subscriber_.Report(wire::LoadReport{loads, state_.demand.Demands(DecisionTime(now))});
   reported_loads_ = std::move(loads);
 }
 
--- a/src/data_plane/edge_state.h
+++ b/src/data_plane/edge_state.h
@@ -9,6 +9,7 @@
 #include "configuration/route_table.h"
 #include "data_plane/backend_connection.h"
 #include "data_plane/backend_table.h"
+#include "data_plane/demand_meter.h"
 #include "data_plane/placement.h"
 #include "data_plane/retry_budget.h"
 #include "node/settings.h"
@@ -45,6 +46,7 @@
   BackendTable backends;
   Placement placement;
   RetryBudget budget;
+  DemandMeter demand;
   brackenspoke::Random random;
   Counters counters;
   bool draining = false;  // SIGTERM came
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -76,6 +76,9 @@
     const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
     if (!whole.backend) break;
+    if (tries == 0 && reader.backend) {
+      state_.demand.Count(service_, reader.work_ms, static_cast<double>(prompt_.output_tokens), now);
+    }
     // A request that tells no prompt has nothing to be read apart: a prefill backend would run it.
     const bool split = prompt_.tokens > 0 && reader.backend && reader.cost_ms < whole.cost_ms;
     std::optional<ReadPrompt> read;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -186,6 +186,29 @@
   return callback;
 }
 
+bool WriteDemands(pb_ostream_t* stream, const pb_field_t* field, void* const* argument) {
+  for (const Demand& demand : *static_cast<const std::vector<Demand>*>(*argument)) {
+    kestrelline_wire_Demand raw = kestrelline_wire_Demand_init_zero;
+    raw.service = Writing(demand.service);
+    raw.reading_ms_per_s = demand.reading_ms_per_s;
+    raw.output_tokens_per_s = demand.output_tokens_per_s;
+    if (!pb_encode_tag_for_field(stream, field)) return false;
+    if (!pb_encode_submessage(stream, kestrelline_wire_Demand_fields, &raw)) return false;
+  }
+  return true;
+}
+
+bool ReadDemands(pb_istream_t* stream, const pb_field_t*, void** argument) {
+  Demand demand;
+  kestrelline_wire_Demand raw = kestrelline_wire_Demand_init_zero;
+  raw.service = Reading(demand.service);
+  if (!pb_decode(stream, kestrelline_wire_Demand_fields, &raw)) return false;
+  demand.reading_ms_per_s = raw.reading_ms_per_s;
+  demand.output_tokens_per_s = raw.output_tokens_per_s;
+  static_cast<std::vector<Demand>*>(*argument)->push_back(std::move(demand));
+  return true;
+}
+
 kestrelline_wire_InstanceList Raw(const InstanceList& list) {
   kestrelline_wire_InstanceList raw = kestrelline_wire_InstanceList_init_zero;
   raw.revision = list.revision;
@@ -283,6 +306,8 @@
 void Put(RawEnvelope& raw, const LoadReport& report) {
   raw.has_load_report = true;
   raw.load_report.loads = Writing(report.loads);
+  raw.load_report.demands.funcs.encode = WriteDemands;
+  raw.load_report.demands.arg = const_cast<std::vector<Demand>*>(&report.demands);
 }
 void Put(RawEnvelope& raw, const LoadSummary& summary) {
   raw.has_load_summary = true;
@@ -414,6 +439,8 @@
   raw.publication.control_peers = Reading(parts.publication.control_peers);
   PrepareToRead(raw.publication.instances, parts.published_instances);
   raw.load_report.loads = Reading(parts.load_report.loads);
+  raw.load_report.demands.funcs.decode = ReadDemands;
+  raw.load_report.demands.arg = &parts.load_report.demands;
   raw.load_summary.loads = Reading(parts.load_summary.loads);
   // PB_DECODE_NOINIT: the callbacks set above must survive; all other fields are zero already.
   pb_istream_t stream =
--- a/src/wire/fleet.pb.c
+++ b/src/wire/fleet.pb.c
@@ -54,6 +54,9 @@
 PB_BIND(kestrelline_wire_BackendLoad, kestrelline_wire_BackendLoad, AUTO)
 
 
+PB_BIND(kestrelline_wire_Demand, kestrelline_wire_Demand, AUTO)
+
+
 PB_BIND(kestrelline_wire_LoadReport, kestrelline_wire_LoadReport, AUTO)
 
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -141,8 +141,16 @@
   std::uint32_t running = 0;
   bool operator==(const BackendLoad&) const = default;
 };
+// What clients ask of a service with engines, as a rate.
+struct Demand {
+  std::string service;
+  std::uint32_t reading_ms_per_s = 0;  // of a prefill backend's time
+  std::uint32_t output_tokens_per_s = 0;
+  bool operator==(const Demand&) const = default;
+};
 struct LoadReport {
   std::vector<BackendLoad> loads;
+  std::vector<Demand> demands;
 };
 struct LoadSummary {
   std::vector<BackendLoad> loads;
