--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -63,9 +63,14 @@
   if (status == kMisdirected) {
     const std::string_view instance = head()["Instance-Id"];
     if (!instance.empty() && instance != backend_->info.id) backend_->displaced = true;
+    backend_->NoteRefusal(DecisionTime());
     return AttemptEnd::kNotExecuted;
   }
-  if (head().count("Not-Executed") > 0) return AttemptEnd::kNotExecuted;
+  if (head().count("Not-Executed") > 0) {
+    backend_->NoteRefusal(DecisionTime());
+    return AttemptEnd::kNotExecuted;
+  }
+  backend_->NoteAcceptance();
   if (status >= kServerErrors) {
     RecordFailure();
   } else {
--- a/src/data_plane/backend.cpp
+++ b/src/data_plane/backend.cpp
@@ -6,6 +6,13 @@
 
 namespace kestrelline::data_plane {
 
+void Backend::NoteRefusal(TimePoint now) {
+  constexpr Duration kFirst{150};
+  constexpr int kMostDoublings = 3;
+  avoid_until = now + kFirst * (1 << std::min(refusals, kMostDoublings));
+  ++refusals;
+}
+
 bool ParseLoad(std::string_view text, LoadHint& hint) {
   int numbers[3] = {};
   const char* at = text.data();
--- a/src/data_plane/backend.h
+++ b/src/data_plane/backend.h
@@ -50,6 +50,10 @@
   bool listed = true;     // on the newest list
   bool displaced = false; // another instance answered at its address
   int in_flight = 0;      // requests of this proxy that are not answered yet
+  // After a refusal it is left alone for a while, longer after each in a row. Refusals tell of load or of a stage that
+  // changes, not of health.
+  TimePoint avoid_until{};
+  int refusals = 0;  // in a row
   LoadHint load;
   KnownParts parts;
   double reading_ms = 0;  // prompts that this proxy sent there and that are not read yet
@@ -61,6 +65,8 @@
   std::uint64_t id_hash = 0;
 
   bool Serves() const { return listed && !info.draining && !displaced; }
+  void NoteRefusal(TimePoint now);
+  void NoteAcceptance() { refusals = 0; }
 };
 using BackendPtr = std::shared_ptr<Backend>;
 
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds kRepeatLoadsEvery{500};  // where they don't change
 // The platform asks every second and takes a process out after two refusals.
 constexpr milliseconds kServeOnAfterTerm{3200};
-constexpr milliseconds kGraceMargin{700};
+constexpr milliseconds kGraceMargin{350};
 // A configuration that no member can vouch for is taken after this: better than none.
 constexpr milliseconds kWaitForCertainty{2500};
 constexpr milliseconds kListTooOld{1800};
--- a/src/data_plane/placement.cpp
+++ b/src/data_plane/placement.cpp
@@ -33,16 +33,16 @@
 
 }  // namespace
 
-// Of the backends in service the one with the least cost; where all are ejected, of all that are listed.
+// Of the backends in service the one with the least cost; where there is none, of all that are listed.
 template <typename Cost>
-Pick Placement::Least(const Group* group, const Excluded& excluded, Cost cost) {
+Pick Placement::Least(const Group* group, const Excluded& excluded, TimePoint now, Cost cost) {
   Pick best;
   if (group == nullptr) return best;
-  for (const bool with_ejected : {false, true}) {
+  for (const bool with_avoided : {false, true}) {
     int ties = 0;
     for (const BackendPtr& backend : group->backends) {
       if (!backend->Serves() || IsExcluded(excluded, backend.get())) continue;
-      if (backend->health.ejected && !with_ejected) continue;
+      if ((backend->health.ejected || now < backend->avoid_until) && !with_avoided) continue;
       const Pick pick = cost(backend);
       if (best.backend && pick.cost_ms > best.cost_ms) continue;
       if (!best.backend || pick.cost_ms < best.cost_ms) ties = 0;
@@ -100,7 +100,7 @@
 
 Pick Placement::PickPlain(const std::string& service, const Excluded& excluded, TimePoint now) {
   constexpr double kOtherZone = 0.25;  // of a backend's slots
-  return Least(table_.Find(service, Stage::kAny), excluded, [&](const BackendPtr& backend) {
+  return Least(table_.Find(service, Stage::kAny), excluded, now, [&](const BackendPtr& backend) {
     const double slots = std::max(1u, backend->info.slots);
     const double zone = backend->info.zone == zone_ ? 0 : kOtherZone;
     return Pick{backend, Running(*backend, now) / slots + zone, 0, 0};
@@ -111,7 +111,7 @@
                             TimePoint now) {
   const Group* group = table_.Find(service, Stage::kPrefill);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
-  return Least(group, excluded, [&](const BackendPtr& backend) {
+  return Least(group, excluded, now, [&](const BackendPtr& backend) {
     const Reading reading =
         ReadingAt(*backend, prompt, backend.get() == preferred, model_.prefill_tokens_per_ms, now);
     const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
@@ -122,7 +122,7 @@
 
 Pick Placement::PickDecode(const std::string& service, const Backend& source, const Excluded& excluded,
                            TimePoint now) {
-  return Least(table_.Find(service, Stage::kDecode), excluded, [&](const BackendPtr& backend) {
+  return Least(table_.Find(service, Stage::kDecode), excluded, now, [&](const BackendPtr& backend) {
     const double running = Running(*backend, now);
     const double full = running >= backend->info.slots ? model_.full_ms : 0;
     const double move = backend->info.zone == source.info.zone ? 0 : model_.move_other_zone_ms;
@@ -138,7 +138,7 @@
   const Group* group = table_.Find(service, split ? Stage::kDecode : Stage::kAny);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
   const double pace = model_.prefill_tokens_per_ms * (split ? model_.decode_share : 1);
-  return Least(group, excluded, [&](const BackendPtr& backend) {
+  return Least(group, excluded, now, [&](const BackendPtr& backend) {
     const Reading reading = ReadingAt(*backend, prompt, !split && backend.get() == preferred, pace, now);
     const double running = Running(*backend, now);
     const double full = running >= backend->info.slots ? model_.full_ms : 0;
--- a/src/data_plane/placement.h
+++ b/src/data_plane/placement.h
@@ -64,7 +64,7 @@
   Reading ReadingAt(const Backend& backend, const Prompt& prompt, bool preferred, double pace, TimePoint now) const;
   const Backend* Preferred(const Group& group, const Prompt& prompt) const;
   template <typename Cost>
-  Pick Least(const Group* group, const Excluded& excluded, Cost cost);
+  Pick Least(const Group* group, const Excluded& excluded, TimePoint now, Cost cost);
 
   const BackendTable& table_;
   std::string zone_;
