--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -10,6 +10,7 @@
 
 constexpr milliseconds kConnectPatience{350};
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kServerErrors = 500;
 
 }  // namespace
@@ -63,11 +64,11 @@
   if (status == kMisdirected) {
     const std::string_view instance = head()["Instance-Id"];
     if (!instance.empty() && instance != backend_->info.id) backend_->displaced = true;
-    backend_->NoteRefusal(DecisionTime());
+    NoteRefusal(status);
     return AttemptEnd::kNotExecuted;
   }
   if (head().count("Not-Executed") > 0) {
-    backend_->NoteRefusal(DecisionTime());
+    NoteRefusal(status);
     return AttemptEnd::kNotExecuted;
   }
   backend_->NoteAcceptance();
@@ -79,6 +80,13 @@
   return AttemptEnd::kAnswered;
 }
 
+void Attempt::NoteRefusal(unsigned status) {
+  // 503 with places free speaks of something else than load: the KV cache that it was to fetch, or its stage.
+  const bool full = backend_->load.known && backend_->load.running >= backend_->load.slots;
+  refused_ = status != kUnavailable || full ? AttemptRefusal::kBusy : AttemptRefusal::kOther;
+  backend_->NoteRefusal(DecisionTime());
+}
+
 Awaitable<error_code> Attempt::ReadPiece(std::string& piece, steady_clock::time_point until) {
   const error_code error = co_await connection_->ReadPiece(piece, until);
   if (error) {
--- a/src/data_plane/attempt.h
+++ b/src/data_plane/attempt.h
@@ -20,6 +20,9 @@
   kTimedOut,     // may have run: nothing came in time
 };
 
+// Why a backend did not run a request, as far as its answer tells.
+enum class AttemptRefusal { kNone, kBusy, kOther };
+
 class Attempt {
  public:
   Attempt(EdgeState& state, BackendPtr backend);
@@ -43,11 +46,14 @@
   Backend& backend() { return *backend_; }
   const BackendPtr& backend_ptr() const { return backend_; }
   const http::bhttp::response<http::bhttp::buffer_body>& head() const { return connection_->head(); }
+  // After kNotExecuted.
+  AttemptRefusal Refused() const { return refused_; }
   bool has_stamp() const { return head().count("Server-Stamp") > 0; }
 
  private:
   AttemptEnd Classify();
   void NoteLoad();
+  void NoteRefusal(unsigned status);
   void Land();
 
   EdgeState& state_;
@@ -55,6 +61,7 @@
   BackendConnectionPtr connection_;
   bool in_flight_ = false;
   bool aborted_ = false;
+  AttemptRefusal refused_ = AttemptRefusal::kNone;
 };
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -69,66 +69,80 @@
 }
 
 Awaitable<void> RequestFlow::RunGeneration() {
-  for (int tries = 0; tries < kMostSends; ++tries) {
-    if (client_.gone()) co_return;
-    if (OutOfTime()) break;
-    const TimePoint now = DecisionTime();
-    const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
-    const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
-    if (!whole.backend) break;
-    if (tries == 0 && reader.backend) {
-      state_.demand.Count(service_, reader.work_ms, static_cast<double>(prompt_.output_tokens), now);
-    }
-    // A request that tells no prompt has nothing to be read apart: a prefill backend would run it.
-    const bool split = prompt_.tokens > 0 && reader.backend && reader.cost_ms < whole.cost_ms;
-    std::optional<ReadPrompt> read;
-    BackendPtr target = whole.backend;
-    std::string fields = PriorityField();
-    if (split) {
-      read = co_await Prefill(reader);
-      if (client_.gone()) {
-        if (read) FreeHandle(*read);
-        co_return;
-      }
-      if (!read) {
-        excluded_.push_back(reader.backend.get());
-        if ((may_have_run_ > 0 && !MayRunAgain()) || !TakeBudget()) break;
-        continue;
-      }
-      const Pick decode = state_.placement.PickDecode(service_, *read->source, excluded_, DecisionTime());
-      if (!decode.backend) {
-        FreeHandle(*read);
-        break;
-      }
-      target = decode.backend;
-      fields += "Kv-From: " + read->source->info.address + "/" + read->handle + "\r\n";
-    }
+  for (int tries = 0; tries < kMostSends && !client_.gone() && !OutOfTime(); ++tries) {
+    const auto target = co_await NextTarget();
+    if (client_.gone()) break;
+    if (!target) continue;
+    if (!target->backend || !PayForRun()) break;
     std::optional<ReadingUnderWay> reading;
-    if (!split) reading.emplace(target, prompt_, whole.work_ms, now);
-    Attempt attempt(state_, target);
-    const AttemptEnd end = co_await Send(attempt, fields, give_up_at_);
+    if (target->reading_ms > 0) reading.emplace(target->backend, prompt_, target->reading_ms, DecisionTime());
+    Attempt attempt(state_, target->backend);
+    const AttemptEnd end = co_await Send(attempt, target->fields, give_up_at_);
     reading.reset();
+    if (end == AttemptEnd::kNotSent) --runs_sent_;
     if (end == AttemptEnd::kAnswered) {
+      read_.reset();  // taken
       ++may_have_run_;
       co_return co_await PassOn(attempt);
     }
-    if (read && end == AttemptEnd::kNotSent) FreeHandle(*read);
     if (end == AttemptEnd::kNotExecuted) {
       std::string ignored;
       co_await attempt.ReadBody(ignored, kLongestReceipt, steady_clock::now() + kDrainPatience);
       attempt.Finish();
     }
-    if (After(end, *target) != Next::kTryAgain) break;
+    if (read_) AfterHandOver(end, attempt);
+    if (After(end, *target->backend) != Next::kTryAgain) break;
   }
+  if (read_) FreeHandle(*read_);
   co_await GiveUp();
 }
 
+// A prompt that was read goes on where it is cheapest; one that was not is read apart, or where it will be generated.
+Awaitable<std::optional<RequestFlow::Target>> RequestFlow::NextTarget() {
+  const TimePoint now = DecisionTime();
+  if (!read_) {
+    const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
+    const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
+    if (runs_sent_ == 0 && readings_sent_ == 0 && reader.backend) {
+      state_.demand.Count(service_, reader.work_ms, static_cast<double>(prompt_.output_tokens), now);
+    }
+    // A request that tells no prompt has nothing to be read apart: a prefill backend would run it.
+    const bool apart = prompt_.tokens > 0 && reader.backend && whole.backend && reader.cost_ms < whole.cost_ms;
+    if (!apart || !PayForReading()) co_return Target{whole.backend, whole.work_ms, PriorityField()};
+    read_ = co_await Prefill(reader);
+    if (!read_) {
+      excluded_.push_back(reader.backend.get());
+      if (may_have_run_ > 0 && !MayRunAgain()) co_return Target{};
+      co_return std::nullopt;
+    }
+  }
+  const Pick decode = state_.placement.PickDecode(service_, *read_->source, excluded_, DecisionTime());
+  co_return Target{decode.backend, 0,
+                   PriorityField() + "Kv-From: " + read_->source->info.address + "/" + read_->handle + "\r\n"};
+}
+
+// Whether the memory is still to be had, and whose fault it is if not.
+void RequestFlow::AfterHandOver(AttemptEnd end, const Attempt& attempt) {
+  if (end == AttemptEnd::kNotSent) return;
+  if (end != AttemptEnd::kNotExecuted) {
+    read_.reset();  // it may have been taken
+    return;
+  }
+  const bool refused_for_load = attempt.Refused() != AttemptRefusal::kOther;
+  if (refused_for_load) return;
+  // There was room, so the memory could not be had: the source lost it, or its link is slow.
+  if (state_.backends.Record(*read_->source, false, DecisionTime())) ++state_.counters.ejections;
+  excluded_.push_back(read_->source.get());
+  read_.reset();
+}
+
 Awaitable<std::optional<RequestFlow::ReadPrompt>> RequestFlow::Prefill(Pick pick) {
   const ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, DecisionTime());
   Attempt attempt(state_, pick.backend);
   const auto until =
       std::min(give_up_at_, kestrelline::data_plane::After(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
   const AttemptEnd end = co_await Send(attempt, "Serving-Stage: prefill\r\n" + PriorityField(), until);
+  if (end == AttemptEnd::kNotSent) --readings_sent_;
   if (end != AttemptEnd::kAnswered && end != AttemptEnd::kNotExecuted) co_return std::nullopt;
   std::string body;
   active_ = &attempt;
@@ -147,7 +161,7 @@
 
 // A stream that may be resumed goes on at another backend, after its last whole event.
 Awaitable<void> RequestFlow::ResumeStream() {
-  while (!client_.gone() && route_->resumable && MayRunAgain() && !OutOfTime() && TakeBudget()) {
+  while (!client_.gone() && route_->resumable && MayRunAgain() && !OutOfTime() && PayForRun()) {
     const TimePoint now = DecisionTime();
     const Pick pick = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     if (!pick.backend) break;
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -91,9 +91,10 @@
   for (int tries = 0; tries < kMostSends; ++tries) {
     if (client_.gone()) co_return;
     const Pick pick = state_.placement.PickPlain(service_, excluded_, DecisionTime());
-    if (!pick.backend || OutOfTime()) co_return co_await GiveUp();
+    if (!pick.backend || OutOfTime() || !PayForRun()) co_return co_await GiveUp();
     Attempt attempt(state_, pick.backend);
     const AttemptEnd end = co_await Send(attempt, "", give_up_at_);
+    if (end == AttemptEnd::kNotSent) --runs_sent_;
     if (end == AttemptEnd::kAnswered) {
       ++may_have_run_;
       co_return co_await PassOn(attempt);
@@ -147,6 +148,18 @@
   return true;
 }
 
+bool RequestFlow::PayForRun() {
+  if (runs_sent_ > 0 && !TakeBudget()) return false;
+  ++runs_sent_;
+  return true;
+}
+
+bool RequestFlow::PayForReading() {
+  if (readings_sent_ > 0 && !TakeBudget()) return false;
+  ++readings_sent_;
+  return true;
+}
+
 RequestFlow::Next RequestFlow::After(AttemptEnd end, const Backend& backend) {
   excluded_.push_back(&backend);
   if (client_.gone()) return Next::kDone;
@@ -154,8 +167,7 @@
     ++may_have_run_;
     if (!MayRunAgain()) return Next::kGiveUp;
   }
-  if (end == AttemptEnd::kNotSent) return Next::kTryAgain;
-  return TakeBudget() ? Next::kTryAgain : Next::kGiveUp;
+  return Next::kTryAgain;
 }
 
 // --- answers ---
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -45,8 +45,19 @@
   // What comes after an attempt without an answer.
   Next After(AttemptEnd end, const Backend& backend);
   bool MayRunAgain() const;
+  // The first arrival of a request, and the first that only reads its prompt, are free; others draw on the budget.
+  bool PayForRun();
+  bool PayForReading();
   bool TakeBudget();
   void FreeHandle(const ReadPrompt& prompt);
+  // Who runs the request next, and the fields that go with it; nothing if it can't be sent now.
+  struct Target {
+    BackendPtr backend;
+    double reading_ms = 0;  // of the prompt, at the target itself
+    std::string fields;
+  };
+  Awaitable<std::optional<Target>> NextTarget();
+  void AfterHandOver(AttemptEnd end, const Attempt& attempt);
 
   Awaitable<AttemptEnd> Send(Attempt& attempt, const std::string& extra_fields, steady_clock::time_point until);
   std::string BackendHead(const Backend& backend, const std::string& extra_fields) const;
@@ -73,8 +84,10 @@
 
   Attempt* active_ = nullptr;
   Excluded excluded_;
-  int sends_ = 0;     // attempts of which a byte may have arrived, and that count towards the budget
+  int runs_sent_ = 0;      // arrivals that were to run
+  int readings_sent_ = 0;  // arrivals that were only to read the prompt
   int may_have_run_ = 0;
+  std::optional<ReadPrompt> read_;  // a prompt that was read and not taken yet
   EventSplitter events_;
 };
 
