--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -148,7 +148,7 @@
 }
 
 void EdgeNode::Take(const wire::Publication& publication) {
-  if (publication.proxies > 0) state_.budget.set_proxies(static_cast<int>(publication.proxies));
+  if (publication.proxies > 0) state_.budget.set_proxies(static_cast<int>(publication.proxies), DecisionTime());
   TakeConfiguration(publication);
   const auto read_at = steady_clock::now() - milliseconds(publication.instances_age_ms);
   if (publication.instances && publication.instances->revision > instances_revision_ &&
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -15,7 +15,7 @@
 
 constexpr milliseconds kDrainPatience{200};  // for the body of a refusal
 constexpr std::size_t kLongestRefusal = 64 * 1024;
-constexpr milliseconds kNotReadyRetry{500};
+constexpr milliseconds kNotReadyRetry{1000};
 constexpr milliseconds kRefusedRetry{150};
 
 // Fields of one connection, and those that this proxy sets itself.
--- a/src/data_plane/retry_budget.h
+++ b/src/data_plane/retry_budget.h
@@ -23,13 +23,26 @@
 
 class RetryBudget {
  public:
-  static constexpr double kUsed = 0.7;  // of the share
+  static constexpr double kUsed = 0.8;  // of the share
+  // After a failover the control plane hears from proxies one by one: a smaller number counts only once it has been
+  // told for this long.
+  static constexpr brackenspoke::Duration kSmallerCountsAfter{20000};
   // Assumed until the control plane has told how many proxies there are.
   static constexpr int kProxiesAtFirst = 64;
 
   explicit RetryBudget(BudgetTerms terms) : terms_(terms) {}
 
-  void set_proxies(int proxies) { proxies_ = std::max(1, proxies); }
+  void set_proxies(int proxies, brackenspoke::TimePoint now) {
+    const int told = std::max(1, proxies);
+    if (!known_ || told >= proxies_) {
+      proxies_ = told;
+      confirmed_ = now;
+      known_ = true;
+    } else if (now - confirmed_ > kSmallerCountsAfter) {
+      proxies_ = told;
+      confirmed_ = now;
+    }
+  }
   void CountRequest(const std::string& service, brackenspoke::TimePoint now) {
     windows_[service].First(now, terms_.window);
   }
@@ -45,6 +58,8 @@
  private:
   BudgetTerms terms_;
   int proxies_ = kProxiesAtFirst;
+  bool known_ = false;
+  brackenspoke::TimePoint confirmed_{};
   std::unordered_map<std::string, brackenspoke::RepeatWindow> windows_;  // a few services
 };
 
--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -89,8 +89,10 @@
 }
 
 int RunCore(const Settings& settings) {
+  spdlog::info("starting role=core zone={}", settings.zone);
   auto store = OpenStore(settings.data_dir);
   if (!store) return kFailure;
+  spdlog::info("store opened directory={}", settings.data_dir);
   boost::asio::io_context io(1);
   kestrelline::control_plane::ControlNode node(io, settings, std::move(store));
   if (const std::error_code error = node.Start()) {
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -70,7 +70,7 @@
 
 TEST(FleetRetryBudget, AProxyUsesItsShareAndNotMore) {
   RetryBudget budget({0.2, 58, Duration(10000)});
-  budget.set_proxies(9);
+  budget.set_proxies(9, At(0));
   int taken = 0;
   for (int i = 0; i < 100; ++i) taken += budget.Take("s", At(100));
   EXPECT_EQ(taken, static_cast<int>(58 * RetryBudget::kUsed / 9));
@@ -80,6 +80,18 @@
   EXPECT_GE(taken, 100);
 }
 
+TEST(FleetRetryBudget, FewerProxiesCountOnlyOnceThatHasLasted) {
+  RetryBudget budget({0, 58, Duration(10000)});
+  budget.set_proxies(9, At(0));
+  budget.set_proxies(2, At(1000));
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) taken += budget.Take("s", At(1000));
+  EXPECT_EQ(taken, static_cast<int>(58 * RetryBudget::kUsed / 9));
+  budget.set_proxies(2, At(25000));
+  for (int i = 0; i < 100; ++i) taken += budget.Take("s", At(40000));
+  EXPECT_GT(taken, static_cast<int>(58 * RetryBudget::kUsed / 2));
+}
+
 TEST(FleetRetryBudget, AsLongAsNobodyToldItIsOneOfMany) {
   RetryBudget budget({0.2, 58, Duration(10000)});
   EXPECT_FALSE(budget.Take("s", At(100)));
