--- a/src/data_plane/placement.h
+++ b/src/data_plane/placement.h
@@ -34,7 +34,7 @@
   double move_other_zone_ms = 14;      // the KV cache crosses between zones
   double hand_over_ms = 30;            // reading at one backend and generating at another, against one for both
   double full_ms = 250;                // all slots are taken
-  double again_ms_per_token = 0.1;     // shared parts that another backend has are read once more
+  double again_ms_per_token = 0.2;     // shared parts that another backend has are read once more
   double stream_share = 0.3;           // what a delay of each running stream of a backend is worth
   double parts_kept_ms = 20000;        // a part that was used this recently is taken to be cached
 };
