--- /dev/null
+++ b/src/fleet_standin/backend.cpp
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet_standin/backend.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "http/api_server.h"
+
+namespace kestrelline::fleet_standin {
+namespace {
+
+using namespace http;
+
+constexpr int kBreaksAfter = 2;  // whole events
+
+std::string Chunk(const std::string& text) {
+  char head[24];
+  std::snprintf(head, sizeof head, "%zx\r\n", text.size());
+  return head + text + "\r\n";
+}
+
+std::string WithBody(std::string head, const std::string& body) {
+  return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+HandleTable& HandleTable::Instance() {
+  static HandleTable table;
+  return table;
+}
+std::string HandleTable::Add(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  const std::string handle = "h" + std::to_string(next_++);
+  handles_.insert(address + "/" + handle);
+  return handle;
+}
+bool HandleTable::Take(const std::string& address_and_handle) {
+  const std::lock_guard lock(mutex_);
+  return handles_.erase(address_and_handle) > 0;
+}
+std::size_t HandleTable::size() const {
+  const std::lock_guard lock(mutex_);
+  return handles_.size();
+}
+
+Backend::Backend(asio::io_context& io, BackendOptions options)
+    : io_(io), options_(std::move(options)), acceptor_(io) {}
+
+std::error_code Backend::Listen() {
+  const auto endpoint = node::ParseEndpoint(options_.instance.address);
+  if (!endpoint) return std::make_error_code(std::errc::invalid_argument);
+  const std::error_code error = OpenAcceptor(acceptor_, *endpoint);
+  if (!error) asio::co_spawn(io_, Accept(), asio::detached);
+  return error;
+}
+
+void Backend::Close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void Backend::Expect(std::vector<Fault> faults) {
+  const std::lock_guard lock(mutex_);
+  faults_.insert(faults_.end(), faults.begin(), faults.end());
+}
+Fault Backend::Next() {
+  const std::lock_guard lock(mutex_);
+  if (faults_.empty()) return Fault::kNone;
+  const Fault fault = faults_.front();
+  faults_.pop_front();
+  return fault;
+}
+std::vector<Arrival> Backend::arrivals() const {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+int Backend::Runs(const std::string& request_id) const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(std::count_if(arrivals_.begin(), arrivals_.end(), [&](const Arrival& arrival) {
+    return arrival.ran && arrival.request_id == request_id;
+  }));
+}
+std::size_t Backend::open_connections() const {
+  const std::lock_guard lock(mutex_);
+  return connections_;
+}
+wire::Instance Backend::instance() const {
+  const std::lock_guard lock(mutex_);
+  return options_.instance;
+}
+std::vector<std::string> Backend::orders() const {
+  const std::lock_guard lock(mutex_);
+  return orders_;
+}
+void Backend::Record(const Request& request, bool ran) {
+  Arrival arrival;
+  arrival.request_id = std::string(request["Request-Id"]);
+  arrival.target = std::string(request.target());
+  arrival.body = request.body();
+  arrival.stage = std::string(request["Serving-Stage"]);
+  arrival.kv_from = std::string(request["Kv-From"]);
+  arrival.last_event_id = std::string(request["Last-Event-Id"]);
+  arrival.deadline_ms = std::string(request["Deadline-Ms"]);
+  arrival.ran = ran;
+  const std::lock_guard lock(mutex_);
+  arrivals_.push_back(std::move(arrival));
+}
+
+Awaitable<void> Backend::Accept() {
+  while (acceptor_.is_open()) {
+    auto [error, socket] = co_await acceptor_.async_accept(kTuple);
+    if (error) continue;
+    asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
+  }
+}
+
+Awaitable<void> Backend::Serve(Tcp::socket socket) {
+  {
+    const std::lock_guard lock(mutex_);
+    ++connections_;
+  }
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  while (true) {
+    Request request;
+    const auto [error, read] = co_await bhttp::async_read(stream, buffer, request, kTuple);
+    if (error || !co_await Answer(stream, request)) break;
+  }
+  stream.close();
+  const std::lock_guard lock(mutex_);
+  --connections_;
+}
+
+Awaitable<bool> Backend::Write(beast::tcp_stream& stream, std::string text) {
+  const auto [error, written] = co_await asio::async_write(stream, asio::buffer(text), kTuple);
+  co_return !error;
+}
+
+std::string Backend::Head(const std::string& status, const std::string& request_id, bool stamped) const {
+  std::string head = "HTTP/1.1 " + status + "\r\nRequest-Id: " + request_id + "\r\n";
+  if (stamped) head += "Server-Stamp: " + options_.instance.id + "\r\n";
+  return head + "Backend-Load: 1,0," + std::to_string(options_.instance.slots) + "\r\n";
+}
+
+bool Backend::TakeHandle(const std::string& kv_from) { return HandleTable::Instance().Take(kv_from); }
+
+Awaitable<bool> Backend::Answer(beast::tcp_stream& stream, const Request& request) {
+  const std::string id(request["Request-Id"]);
+  const std::string expected(request["Expect-Instance"]);
+  if (!expected.empty() && expected != options_.instance.id) {
+    co_return co_await Write(stream, WithBody("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + options_.instance.id + "\r\n", ""));
+  }
+  if (request.method() == bhttp::verb::delete_) {
+    const std::string target(request.target());
+    TakeHandle(options_.instance.address + target.substr(target.rfind('/')));
+    co_return co_await Write(stream, WithBody("HTTP/1.1 200 OK\r\n", ""));
+  }
+  if (request.target() == "/-/order") {
+    {
+      const std::lock_guard lock(mutex_);
+      orders_.push_back(request.body());
+      options_.instance.prefill = request.body().find("\"stage\":\"prefill\"") != std::string::npos;
+      options_.instance.decode = !options_.instance.prefill;
+    }
+    co_return co_await Write(stream, WithBody("HTTP/1.1 202 Accepted\r\n", ""));
+  }
+  const Fault fault = Next();
+  if (fault == Fault::kRefuse) {
+    Record(request, false);
+    co_return co_await Write(stream, WithBody(Head("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", ""));
+  }
+  if (fault == Fault::kMisdirect) {
+    Record(request, false);
+    co_return co_await Write(stream, WithBody("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n", ""));
+  }
+  if (request["Serving-Stage"] == "prefill") {
+    Record(request, false);
+    const std::string handle = HandleTable::Instance().Add(options_.instance.address);
+    co_return co_await Write(stream, WithBody(Head("200 OK", id, false),
+                                              "{\"kv_handle\":\"" + handle + "\",\"tokens\":10,\"version\":1}"));
+  }
+  const std::string kv_from(request["Kv-From"]);
+  if (!kv_from.empty() && !TakeHandle(kv_from)) {
+    Record(request, false);
+    co_return co_await Write(stream, WithBody("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n", ""));
+  }
+  Record(request, true);
+  if (fault == Fault::kCloseUnanswered) co_return false;
+  if (fault == Fault::kHang) {
+    co_await stream.socket().async_wait(Tcp::socket::wait_read, kTuple);  // until its caller leaves
+    co_return false;
+  }
+  if (fault == Fault::kError) {
+    co_return co_await Write(stream, WithBody(Head("500 Internal Server Error", id, true), "oh"));
+  }
+  if (fault == Fault::kStrayAnswer) {
+    if (!co_await Write(stream, WithBody(Head("200 OK", "of-another", true), "not yours"))) co_return false;
+  }
+  const bool streams = !request["Model-Name"].empty();
+  if (streams) co_return co_await Stream(stream, request, fault);
+  co_return co_await Write(stream, WithBody(Head("200 OK", id, fault != Fault::kNoStamp), "body of " + id));
+}
+
+Awaitable<bool> Backend::Stream(beast::tcp_stream& stream, const Request& request, Fault fault) {
+  const std::string id(request["Request-Id"]);
+  const std::string last(request["Last-Event-Id"]);
+  int event = last.empty() ? 0 : std::stoi(last);
+  std::string head = Head("200 OK", id, fault != Fault::kNoStamp);
+  head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  if (!co_await Write(stream, std::move(head))) co_return false;
+  const int breaks_at = event + kBreaksAfter;
+  asio::steady_timer timer(io_);
+  while (event < options_.events) {
+    ++event;
+    const std::string text = "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+    if (fault == Fault::kBreakStream && event > breaks_at) {
+      co_await Write(stream, Chunk(text.substr(0, text.size() / 2)));
+      co_return false;
+    }
+    if (!co_await Write(stream, Chunk(text))) co_return false;
+    timer.expires_after(options_.between);
+    co_await timer.async_wait(kTuple);
+  }
+  co_return co_await Write(stream, "0\r\n\r\n");
+}
+
+}  // namespace kestrelline::fleet_standin
--- /dev/null
+++ b/src/fleet_standin/backend.h
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A stand-in of a backend on sockets: stages, handles, streams, refusals, and the faults that tests ask for. What it
+// ran is on record by request id.
+#ifndef KESTRELLINE_FLEET_STANDIN_BACKEND_H_
+#define KESTRELLINE_FLEET_STANDIN_BACKEND_H_
+
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "http/asio.h"
+#include "node/settings.h"
+#include "wire/messages.h"
+
+namespace kestrelline::fleet_standin {
+
+// What a backend does with the next request that reaches it (health, orders and deletions aside).
+enum class Fault {
+  kNone,
+  kRefuse,          // 503, Not-Executed
+  kMisdirect,       // 421, as another instance would
+  kCloseUnanswered, // runs it, then closes without a byte
+  kBreakStream,     // closes in the middle of the third event
+  kError,           // 500 of its own
+  kNoStamp,         // a success without its stamp
+  kStrayAnswer,     // first an answer to another request, then its own
+  kHang,            // runs it and says nothing
+};
+
+// One arrival, as the backend saw it.
+struct Arrival {
+  std::string request_id;
+  std::string target;
+  std::string body;
+  std::string stage;          // Serving-Stage
+  std::string kv_from;
+  std::string last_event_id;
+  std::string deadline_ms;
+  bool ran = false;
+};
+
+struct BackendOptions {
+  wire::Instance instance;  // its address is where it listens
+  int events = 5;           // of a stream
+  http::milliseconds between{2};
+};
+
+class Backend {
+ public:
+  Backend(http::asio::io_context& io, BackendOptions options);
+
+  std::error_code Listen();
+  void Close();
+  // For the next requests, one each, in this order.
+  void Expect(std::vector<Fault> faults);
+  std::vector<Arrival> arrivals() const;
+  // How often it ran that request.
+  int Runs(const std::string& request_id) const;
+  std::size_t open_connections() const;
+  wire::Instance instance() const;
+  std::vector<std::string> orders() const;
+
+ private:
+  using Request = http::bhttp::request<http::bhttp::string_body>;
+
+  http::Awaitable<void> Accept();
+  http::Awaitable<void> Serve(http::Tcp::socket socket);
+  // False: the connection ends.
+  http::Awaitable<bool> Answer(http::beast::tcp_stream& stream, const Request& request);
+  http::Awaitable<bool> Stream(http::beast::tcp_stream& stream, const Request& request, Fault fault);
+  http::Awaitable<bool> Write(http::beast::tcp_stream& stream, std::string text);
+  std::string Head(const std::string& status, const std::string& request_id, bool stamped) const;
+  Fault Next();
+  bool TakeHandle(const std::string& kv_from);
+  void Record(const Request& request, bool ran);
+
+  http::asio::io_context& io_;
+  BackendOptions options_;
+  http::Tcp::acceptor acceptor_;
+  mutable std::mutex mutex_;
+  std::deque<Fault> faults_;
+  std::vector<Arrival> arrivals_;
+  std::vector<std::string> orders_;
+  std::size_t connections_ = 0;
+};
+
+// Handles of all backends of a process: whoever is given one takes it here.
+class HandleTable {
+ public:
+  static HandleTable& Instance();
+  std::string Add(const std::string& address);
+  bool Take(const std::string& address_and_handle);
+  std::size_t size() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::set<std::string> handles_;
+  int next_ = 1;
+};
+
+}  // namespace kestrelline::fleet_standin
+
+#endif  // KESTRELLINE_FLEET_STANDIN_BACKEND_H_
--- /dev/null
+++ b/tests/router_fleet/processes_test.cpp
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The fleet's processes on the days that hurt: leaders killed, disks lost, all ended at once, proxies stopped.
+#include <gtest/gtest.h>
+
+#include "router_fleet/fleet_fixture.h"
+
+namespace kestrelline::router_fleet {
+namespace {
+
+TEST(FleetProcesses, AConfigurationIsTakenAtAnyMemberAndReadBackAsItWas) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  EXPECT_EQ(fleet.GetConfiguration(), fleet.Configuration(1));
+  int redirected = 0;
+  for (int i = 0; i < 3; ++i) redirected += fleet.PutAt(i, fleet.Configuration(1), 0).status == 307;
+  EXPECT_EQ(redirected, 2);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(1), 0), 200);  // the same order again
+  EXPECT_EQ(fleet.Put(fleet.Configuration(1, 77), 0), 412);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(1, 77), 1), 400);  // its version is not above the current one
+  EXPECT_EQ(fleet.Put("{\"version\":2", 1), 400);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(1), 0), 200);  // taken once, so never refused
+  EXPECT_EQ(fleet.GetConfiguration(), fleet.Configuration(2));
+}
+
+TEST(FleetProcesses, ALeaderThatIsKilledIsFollowedAndNothingAcknowledgedIsLost) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  ASSERT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+  const int leader = fleet.Leader();
+  ASSERT_GE(leader, 0);
+  fleet.core(leader).End(SIGKILL);
+  ASSERT_TRUE(Eventually([&] { return fleet.Leader() >= 0; }));
+  EXPECT_EQ(fleet.GetConfiguration(), fleet.Configuration(2));
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(3), 2), 200);
+  EXPECT_EQ(fleet.Send(0, "/app/x", "r1").status, 200);
+  fleet.StartCore(leader);
+  EXPECT_TRUE(Eventually([&] {
+    return Ask(fleet.CoreIp(leader), Fleet::kControl, "GET /-/status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        .Has("\"version\":3");
+  }));
+}
+
+TEST(FleetProcesses, ADiskIsLostAndEverybodyEndsRightAfterAnAcknowledgement) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  ASSERT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+  const int leader = fleet.Leader();
+  for (int i = 0; i < 3; ++i) fleet.core(i).End(SIGKILL);
+  fleet.LoseDisk(leader);
+  for (int i = 0; i < 3; ++i) fleet.StartCore(i);
+  EXPECT_EQ(fleet.GetConfiguration(), fleet.Configuration(2));
+  EXPECT_EQ(fleet.Put(fleet.Configuration(3), 2), 200);
+}
+
+TEST(FleetProcesses, AProxyThatStartsAnewIsReadyOnlyWithTheNewestConfiguration) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  fleet.edge(1).End(SIGKILL);
+  for (int i = 0; i < 3; ++i) fleet.core(i).End(SIGKILL);
+  fleet.StartEdge(1);
+  ASSERT_TRUE(Eventually([&] { return fleet.Send(1, "/app/x", "r1").status == 503; }));
+  EXPECT_FALSE(fleet.Ready(1));
+  for (int i = 0; i < 3; ++i) fleet.StartCore(i);
+  EXPECT_TRUE(Eventually([&] { return fleet.Ready(1); }));
+  EXPECT_EQ(fleet.Send(1, "/app/x", "r2").status, 200);
+}
+
+TEST(FleetProcesses, ProxiesServeOnWithoutTheControlPlane) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  for (int i = 0; i < 3; ++i) fleet.core(i).End(SIGKILL);
+  EXPECT_EQ(fleet.Send(0, "/app/x", "r1").status, 200);
+  EXPECT_TRUE(fleet.Ready(0));
+  // They read the platform's list themselves.
+  const int calls = fleet.platform().calls();
+  EXPECT_TRUE(Eventually([&] { return fleet.platform().calls() > calls; }));
+}
+
+TEST(FleetProcesses, ABackendThatDrainsGetsNothingNew) {
+  Fleet::Options options;
+  options.plain = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  fleet.SetDraining("a0");
+  int request = 0;
+  ASSERT_TRUE(Eventually([&] {
+    const std::size_t before = fleet.backend("a0").arrivals().size();
+    for (int i = 0; i < 8; ++i) {
+      ++request;
+      fleet.Send(request % 2, "/app/x", "r" + std::to_string(request));
+    }
+    return fleet.backend("a0").arrivals().size() == before;
+  }));
+}
+
+TEST(FleetProcesses, AProxyThatIsStoppedFinishesWhatItHasRead) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 1;
+  options.events = 200;
+  options.between = milliseconds(5);
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  Answer answer;
+  std::thread client([&] { answer = fleet.Generate(0, "r1"); });
+  ASSERT_TRUE(Eventually([&] { return fleet.Runs("r1") == 1; }));
+  fleet.edge(0).Signal(SIGTERM);
+  EXPECT_TRUE(Eventually([&] { return !fleet.Ready(0); }));
+  EXPECT_EQ(fleet.Send(0, "/app/x", "r2").status, 200);  // what still comes is served
+  client.join();
+  EXPECT_TRUE(answer.ended_well);
+  EXPECT_TRUE(Eventually([&] { return fleet.edge(0).Ended(); }));
+}
+
+TEST(FleetProcesses, SighupEndsNobody) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  for (int i = 0; i < 3; ++i) fleet.core(i).Signal(SIGHUP);
+  fleet.edge(0).Signal(SIGHUP);
+  EXPECT_EQ(fleet.Send(0, "/app/x", "r1").status, 200);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+}
+
+TEST(FleetProcesses, TheLeaderMovesStagesByFencedOrders) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 5;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  std::string order;
+  ASSERT_TRUE(Eventually([&] {
+    for (const char* id : {"d0", "d1", "d2", "d3", "d4"}) {
+      const auto orders = fleet.backend(id).orders();
+      if (!orders.empty()) order = orders[0];
+    }
+    return !order.empty();
+  }));
+  EXPECT_NE(order.find("\"op\":\"stage\",\"stage\":\"prefill\""), std::string::npos);
+  EXPECT_NE(order.find("\"fence\":1"), std::string::npos);
+  EXPECT_NE(order.find("\"holder\":\"core"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace kestrelline::router_fleet
--- /dev/null
+++ b/tests/router_fleet/requests_test.cpp
@@ -0,0 +1,237 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Requests through real proxies, before stand-ins of backends that refuse, break off, and say what is not so.
+#include <gtest/gtest.h>
+
+#include "router_fleet/fleet_fixture.h"
+
+namespace kestrelline::router_fleet {
+namespace {
+
+TEST(FleetRequests, APlainRequestRunsOnceAndItsAnswerIsTheBackends) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  const Answer answer = fleet.Send(0, "/app/x?y=1", "r1");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.Has("Server-Stamp: a0\r\n"));
+  EXPECT_TRUE(answer.text.ends_with("body of r1"));
+  EXPECT_TRUE(answer.ended_well);
+  ASSERT_EQ(fleet.backend("a0").arrivals().size(), 1u);
+  const auto arrival = fleet.backend("a0").arrivals()[0];
+  EXPECT_EQ(arrival.target, "/app/x?y=1");
+  EXPECT_EQ(arrival.body, "hello");
+  EXPECT_GT(std::stoi(arrival.deadline_ms), 3000);
+  EXPECT_LE(std::stoi(arrival.deadline_ms), 4000);
+}
+
+TEST(FleetRequests, ChunkedBodiesArriveUnchangedAndRoutesThatAreNotThereAre404) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  const Answer answer =
+      Ask(fleet.EdgeIp(0), Fleet::kFront,
+          "POST /app/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nConnection: close\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(fleet.backend("a0").arrivals()[0].body, "hello world");
+  EXPECT_EQ(fleet.Send(0, "/other/x", "r2").status, 404);
+  EXPECT_EQ(Ask(fleet.EdgeIp(0), Fleet::kFront, "nonsense\r\n\r\n").status, 400);
+  EXPECT_EQ(Ask(fleet.EdgeIp(0), Fleet::kFront,
+                "POST /app/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n").status,
+            413);
+}
+
+TEST(FleetRequests, ARefusalIsTriedElsewhereAndAnswered503WhereAllRefuse) {
+  Fleet::Options options;
+  options.plain = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kRefuse, Fault::kRefuse});
+  const Answer refused = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_TRUE(refused.Has("Retry-After: "));
+  EXPECT_FALSE(refused.Has("Server-Stamp"));
+  EXPECT_EQ(fleet.Runs("r1"), 0);
+  // One refusal is left at each: whoever is asked first refuses, the other one too, then nothing is left of them.
+  fleet.Send(0, "/app/x", "r2");
+  const Answer answer = fleet.Send(0, "/app/x", "r3");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(fleet.Runs("r3"), 1);
+}
+
+TEST(FleetRequests, AnUnsafeRequestThatMayHaveRunIsNeitherSentAgainNorPromised) {
+  Fleet::Options options;
+  options.plain = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kCloseUnanswered});
+  const Answer answer = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(fleet.Runs("r1"), 1);
+}
+
+TEST(FleetRequests, ASafeOneIsSentAgainButNotMoreOftenThanAllowed) {
+  Fleet::Options options;
+  options.plain = 3;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"a0", "a1", "a2"}) fleet.backend(id).Expect({Fault::kCloseUnanswered});
+  const Answer answer = fleet.Send(0, "/safe/x", "r1");
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(fleet.Runs("r1"), 2);
+}
+
+TEST(FleetRequests, ABackendsOwnErrorAndItsStampArePassedOn) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kError});
+  const Answer answer = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(answer.status, 500);
+  EXPECT_TRUE(answer.Has("Server-Stamp: a0"));
+}
+
+TEST(FleetRequests, ASuccessWithoutStampAndAnAnswerToAnotherRequestAreNotPassedOn) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kNoStamp});
+  EXPECT_EQ(fleet.Send(0, "/app/x", "r1").status, 502);
+  fleet.backend("a0").Expect({Fault::kStrayAnswer});
+  const Answer answer = fleet.Send(0, "/app/x", "r2");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.text.ends_with("body of r2"));
+  EXPECT_FALSE(answer.Has("not yours"));
+}
+
+TEST(FleetRequests, APromptIsReadAtOneBackendAndGeneratedAtAnother) {
+  Fleet::Options options;
+  options.prefill = 2;
+  options.decode = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  const Answer answer = fleet.Generate(0, "r1");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.ended_well);
+  for (int event = 1; event <= 5; ++event) EXPECT_TRUE(answer.Has("id: " + std::to_string(event) + "\n"));
+  std::size_t readings = 0, handed_over = 0;
+  for (const char* id : {"p0", "p1", "d0", "d1"}) {
+    for (const auto& arrival : fleet.backend(id).arrivals()) {
+      readings += arrival.stage == "prefill";
+      handed_over += !arrival.kv_from.empty();
+    }
+  }
+  EXPECT_EQ(readings, 1u);
+  EXPECT_EQ(handed_over, 1u);
+  EXPECT_EQ(fleet.Runs("r1"), 1);
+  EXPECT_EQ(fleet_standin::HandleTable::Instance().size(), 0u);
+}
+
+TEST(FleetRequests, ARequestThatTellsNoPromptIsNotReadApart) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  const Answer answer = fleet.Send(0, "/llm/x", "r1");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.ended_well);
+  EXPECT_TRUE(answer.Has("body of r1"));
+  EXPECT_EQ(fleet.backend("p0").arrivals().size(), 0u);
+  EXPECT_EQ(fleet.Runs("r1"), 1);
+}
+
+TEST(FleetRequests, ARefusedHandOverGoesOnElsewhereAndRunsOnce) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"d0", "d1"}) fleet.backend(id).Expect({Fault::kRefuse});
+  const Answer answer = fleet.Generate(0, "r1");
+  // One refused, the other as well; the third sending is refused by none.
+  EXPECT_TRUE(answer.status == 200 || answer.status == 503);
+  EXPECT_LE(fleet.Runs("r1"), 1);
+  const Answer next = fleet.Generate(0, "r2");
+  EXPECT_EQ(next.status, 200);
+  EXPECT_EQ(fleet.Runs("r2"), 1);
+}
+
+TEST(FleetRequests, AStreamThatMayNotBeResumedEndsBadlyAndRunsOnce) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"d0", "d1"}) fleet.backend(id).Expect({Fault::kBreakStream});
+  const Answer answer = fleet.Generate(0, "r1");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_FALSE(answer.ended_well);
+  EXPECT_TRUE(answer.Has("id: 2\n"));
+  EXPECT_FALSE(answer.Has("id: 3"));
+  EXPECT_EQ(fleet.Runs("r1"), 1);
+}
+
+TEST(FleetRequests, AStreamThatMayBeResumedGoesOnAtAnotherWithinOneAnswer) {
+  Fleet::Options options;
+  options.prefill = 1;
+  options.decode = 3;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin(true));
+  // Whoever is first breaks off; whoever is next goes on.
+  for (const char* id : {"d0", "d1", "d2"}) fleet.backend(id).Expect({Fault::kBreakStream, Fault::kNone});
+  const Answer answer = fleet.Generate(0, "r1");
+  EXPECT_EQ(answer.status, 200);
+  std::string seen;
+  for (std::size_t at = 0; (at = answer.text.find("id: ", at)) != std::string::npos; at += 4) seen += answer.text[at + 4];
+  EXPECT_EQ(seen.substr(0, 2), "12");
+  EXPECT_EQ(std::count(seen.begin(), seen.end(), '3'), 1);
+  EXPECT_EQ(fleet.Runs("r1"), 2);
+  std::string resumed_after;
+  for (const char* id : {"d0", "d1", "d2"}) {
+    for (const auto& arrival : fleet.backend(id).arrivals()) resumed_after += arrival.last_event_id;
+  }
+  EXPECT_EQ(resumed_after, "2");
+}
+
+TEST(FleetRequests, WhatTakesTooLongIsAnsweredAtItsTimeoutWithoutAPromise) {
+  Fleet fleet({});
+  ASSERT_EQ(fleet.Put(fleet.Configuration(1, 300), 0), 200);
+  ASSERT_TRUE(Eventually([&] { return fleet.AllReady(); }));
+  fleet.backend("a0").Expect({Fault::kHang});
+  const auto began = Clock::now();
+  const Answer answer = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(answer.status, 504);
+  EXPECT_GE(Clock::now() - began, milliseconds(290));
+  EXPECT_LT(Clock::now() - began, milliseconds(3000));
+}
+
+TEST(FleetRequests, ABackendStopsWhenItsClientLeaves) {
+  Fleet fleet({});
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kHang});
+  {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address(fleet.EdgeIp(0)), Fleet::kFront});
+    const std::string request =
+        "POST /app/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    ASSERT_TRUE(Eventually([&] { return fleet.Runs("r1") == 1; }));
+    EXPECT_EQ(fleet.backend("a0").open_connections(), 1u);
+  }
+  EXPECT_TRUE(Eventually([&] { return fleet.backend("a0").open_connections() == 0; }, milliseconds(5000)));
+  const Answer next = fleet.Send(0, "/app/x", "r2");
+  EXPECT_EQ(next.status, 200);
+}
+
+TEST(FleetRequests, AnotherInstanceAtTheAddressIsNotAskedAgain) {
+  Fleet::Options options;
+  options.plain = 2;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kMisdirect});
+  const Answer first = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(first.status, 503);
+  EXPECT_EQ(fleet.Runs("r1"), 0);
+}
+
+}  // namespace
+}  // namespace kestrelline::router_fleet
--- a/tests/support/temporary.h
+++ b/tests/support/temporary.h
@@ -8,6 +8,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <string>
 
@@ -32,6 +33,10 @@
   void Write(const std::string& name, const std::string& text) const {
     std::ofstream(path_ / name, std::ios::binary | std::ios::trunc) << text;
   }
+  std::string Read(const std::string& name) const {
+    std::ifstream file(path_ / name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
   // As an operator should: the file is the old one or the new one at every moment.
   void Replace(const std::string& name, const std::string& text) const {
     Write(name + ".next", text);
