--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -46,7 +46,7 @@
       settings_(settings),
       mesh_(io, settings.ip, settings.first_port),
       replica_(OptionsOf(settings), LoadFrom(store.get()), Now()),
-      publisher_(mesh_),
+      publisher_(mesh_, settings.most_subscribers),
       reader_(io, settings.cloud.value_or(node::Endpoint{})),
       api_(io, *this, settings.control ? settings.control->port : 0),
       server_(io, [this](ApiRequest request) { return api_.Handle(std::move(request)); }),
@@ -65,10 +65,7 @@
   const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
     OnMessage(connection, std::move(message));
   };
-  const auto on_closed = [this](mesh::Connection& connection) {
-    publisher_.Forget(connection);
-    replica_.set_proxies(static_cast<std::uint32_t>(publisher_.subscribers()));
-  };
+  const auto on_closed = [this](mesh::Connection& connection) { publisher_.Forget(connection); };
   if (const std::error_code error = mesh_.Listen(on_message, on_closed)) return error;
   if (settings_.control) {
     if (const std::error_code error = server_.Listen(*settings_.control)) return error;
@@ -112,8 +109,7 @@
 
 void ControlNode::OnMessage(mesh::Connection& connection, wire::Message message) {
   if (const auto* subscribe = std::get_if<wire::Subscribe>(&message.body)) {
-    publisher_.Subscribe(connection, *subscribe, CurrentlyPublished());
-    replica_.set_proxies(static_cast<std::uint32_t>(publisher_.subscribers()));
+    publisher_.Subscribe(connection, message.sender, *subscribe, CurrentlyPublished());
     return;
   }
   if (const auto* list = std::get_if<wire::InstanceList>(&message.body)) return OnInstances(*list);
@@ -146,6 +142,7 @@
 void ControlNode::ShareLoads() {
   loads_.Forget(Now());
   const wire::LoadReport here = loads_.Here();
+  replica_.set_proxies(here.proxies);
   const bool repeat = Now() >= next_load_report_;
   if (repeat) next_load_report_ = Now() + kRepeatLoadsEvery;
   if (here.loads != loads_to_members_ || (repeat && !here.demands.empty())) {
@@ -236,11 +233,14 @@
   });
 }
 
-Published ControlNode::CurrentlyPublished() const {
+distribution::Published ControlNode::CurrentlyPublished() const {
   const Time now = Now();
-  Published published;
-  published.record = replica_.committed();
-  if (const auto certain = replica_.certain_at(now)) published.record_age = now - *certain;
+  distribution::Published published;
+  if (const wire::RecordPtr record = replica_.committed(); record && !record->configuration.empty()) {
+    published.version = record->version;
+    published.configuration = std::shared_ptr<const std::string>(record, &record->configuration);
+  }
+  if (const auto certain = replica_.certain_at(now)) published.age = now - *certain;
   published.instances = instances_;
   published.instances_age = now - instances_read_;
   published.proxies = replica_.proxies();
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -11,13 +11,13 @@
 #include <string>
 #include <system_error>
 
-#include "control_plane/load_board.h"
 #include "control_plane/operator_api.h"
-#include "control_plane/publisher.h"
 #include "control_plane/replica.h"
 #include "control_plane/stage_planner.h"
 #include "control_plane/store.h"
 #include "discovery/list_reader.h"
+#include "distribution/load_board.h"
+#include "distribution/publisher.h"
 #include "http/api_server.h"
 #include "mesh/mesh.h"
 #include "node/settings.h"
@@ -48,7 +48,7 @@
   void LogRole();
   void ScheduleTick();
   void PublishIfChanged();
-  Published CurrentlyPublished() const;
+  distribution::Published CurrentlyPublished() const;
   http::Awaitable<void> ReadListWhileLeading();
   void MoveStages();
   http::Awaitable<void> Order(StageOrder order);
@@ -58,7 +58,7 @@
   const node::Settings settings_;
   mesh::Mesh mesh_;
   Replica replica_;
-  Publisher publisher_;
+  distribution::Publisher publisher_;
   discovery::ListReader reader_;
   OperatorApi api_;
   http::ApiServer server_;
@@ -66,7 +66,7 @@
   std::unique_ptr<StoreThread> store_;
   std::map<std::uint64_t, std::function<void(Outcome)>> undecided_;
 
-  LoadBoard loads_;
+  distribution::LoadBoard loads_;
   std::vector<wire::BackendLoad> loads_to_members_;
   StagePlanner planner_;
   std::optional<Time> leading_since_;
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -31,7 +31,12 @@
       state_(io, settings_, seed),
       subscriber_(io, settings_, [this] { return Subscriber::Have{version_, instances_revision_}; },
                   [this](const wire::Publication& publication) { Take(publication); },
-                  [this](const wire::LoadSummary& summary) { state_.backends.TakeLoads(summary.loads, DecisionTime()); }),
+                  [this](const wire::LoadSummary& summary) {
+                    state_.backends.TakeLoads(summary.loads, DecisionTime());
+                    publisher_.SendToAll(summary);
+                  }),
+      mesh_(io, settings.ip, settings.first_port),
+      publisher_(mesh_, settings.most_subscribers),
       ready_server_(io, [this](ApiRequest request) { return Readiness(std::move(request)); }),
       acceptor_(io),
       reader_(io, settings.cloud.value_or(node::Endpoint{})),
@@ -47,6 +52,11 @@
   }
   if (!settings_.front) return std::make_error_code(std::errc::invalid_argument);
   if (const std::error_code error = OpenAcceptor(acceptor_, *settings_.front)) return error;
+  const auto on_child = [this](mesh::Connection& connection, wire::Message message) {
+    OnChild(connection, std::move(message));
+  };
+  const auto on_closed = [this](mesh::Connection& connection) { publisher_.Forget(connection); };
+  if (const std::error_code error = mesh_.Listen(on_child, on_closed)) return error;
   asio::co_spawn(io_, Accept(), asio::detached);
   subscriber_.Start();
   ScheduleTick();
@@ -123,13 +133,48 @@
   });
 }
 
+// Its own work, and that of the proxies which this one passes on to.
 void EdgeNode::ReportLoads() {
-  auto loads = state_.backends.ReportLoads();
   const auto now = steady_clock::now();
-  if (loads == reported_loads_ && now < next_load_report_) return;
+  const auto now_ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  children_.ReportFromMember(now_ms, settings_.ip,
+                             {state_.backends.ReportLoads(), state_.demand.Demands(DecisionTime(now)), 1});
+  children_.Forget(now_ms);
+  wire::LoadReport report = children_.Everywhere();
+  if (report.loads == reported_loads_ && now < next_load_report_) return;
   next_load_report_ = now + kRepeatLoadsEvery;
-  subscriber_.Report(wire::LoadReport{loads, state_.demand.Demands(DecisionTime(now))});
-  reported_loads_ = std::move(loads);
+  subscriber_.Report(report);
+  reported_loads_ = std::move(report.loads);
+}
+
+void EdgeNode::OnChild(mesh::Connection& connection, wire::Message message) {
+  if (const auto* subscribe = std::get_if<wire::Subscribe>(&message.body)) {
+    publisher_.Subscribe(connection, message.sender, *subscribe, CurrentlyPublished());
+  } else if (auto* report = std::get_if<wire::LoadReport>(&message.body)) {
+    const auto now = std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
+    children_.ReportFromProxy(now, message.sender, std::move(*report));
+  }
+}
+
+distribution::Published EdgeNode::CurrentlyPublished() const {
+  const auto since = std::chrono::duration_cast<milliseconds>(steady_clock::now() - told_at_);
+  distribution::Published published;
+  published.version = version_;
+  published.configuration = configuration_;
+  if (told_.certain) published.age = milliseconds(told_.age_ms) + since;
+  published.instances = instances_;
+  published.instances_age = milliseconds(told_.instances_age_ms) + since;
+  published.proxies = told_.proxies;
+  published.control_peers = told_.control_peers;
+  published.hops = told_.hops + 1;
+  return published;
+}
+
+// To the proxies that found no room at a member. Far from the members nothing is passed on: a ring of proxies that tell
+// each other old news would count its hops up to this.
+void EdgeNode::PassOn() {
+  constexpr std::uint32_t kMostHops = 8;
+  if (told_.hops < kMostHops) publisher_.Publish(CurrentlyPublished());
 }
 
 // Nobody passes the list on: this proxy reads it itself, at times that differ from other proxies'.
@@ -148,6 +193,10 @@
 }
 
 void EdgeNode::Take(const wire::Publication& publication) {
+  told_ = publication;
+  told_.configuration.clear();
+  told_.instances = nullptr;
+  told_at_ = steady_clock::now();
   if (publication.proxies > 0) state_.budget.set_proxies(static_cast<int>(publication.proxies), DecisionTime());
   TakeConfiguration(publication);
   const auto read_at = steady_clock::now() - milliseconds(publication.instances_age_ms);
@@ -155,11 +204,13 @@
       (instances_revision_ > 0 || read_at > instances_read_)) {
     state_.backends.Update(*publication.instances);
     instances_revision_ = publication.instances->revision;
+    instances_ = publication.instances;
     know_backends_ = true;
   }
   if (publication.instances_revision > 0 && publication.instances_revision == instances_revision_) {
     instances_read_ = std::max(instances_read_, read_at);
   }
+  PassOn();
 }
 
 void EdgeNode::TakeConfiguration(const wire::Publication& publication) {
@@ -172,6 +223,7 @@
   }
   state_.routes = std::make_shared<const configuration::RouteTable>(parsed.configuration);
   version_ = publication.version;
+  configuration_ = std::make_shared<const std::string>(publication.configuration);
   spdlog::info("configuration version={} routes={}", version_, parsed.configuration->routes.size());
 }
 
--- a/src/data_plane/edge_node.h
+++ b/src/data_plane/edge_node.h
@@ -12,6 +12,8 @@
 #include "data_plane/edge_state.h"
 #include "data_plane/subscriber.h"
 #include "discovery/list_reader.h"
+#include "distribution/load_board.h"
+#include "distribution/publisher.h"
 #include "http/api_server.h"
 #include "node/settings.h"
 
@@ -36,6 +38,9 @@
   void TickDrain();
   void Take(const wire::Publication& publication);
   void TakeConfiguration(const wire::Publication& publication);
+  void OnChild(mesh::Connection& connection, wire::Message message);
+  distribution::Published CurrentlyPublished() const;
+  void PassOn();
   Awaitable<void> ReadListIfForgotten();
   bool Ready() const;
 
@@ -43,6 +48,9 @@
   const node::Settings settings_;
   EdgeState state_;
   Subscriber subscriber_;
+  mesh::Mesh mesh_;
+  distribution::Publisher publisher_;  // to proxies that found no room at a member
+  distribution::LoadBoard children_;
   http::ApiServer ready_server_;
   http::Tcp::acceptor acceptor_;
   discovery::ListReader reader_;
@@ -52,6 +60,10 @@
 
   steady_clock::time_point started_;
   std::uint64_t version_ = 0;
+  std::shared_ptr<const std::string> configuration_;
+  wire::Publication told_;  // the latest, without its contents
+  steady_clock::time_point told_at_{};
+  wire::InstanceListPtr instances_;
   std::uint64_t instances_revision_ = 0;
   steady_clock::time_point instances_read_{};
   steady_clock::time_point next_own_reading_{};
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -61,7 +61,7 @@
   if (connecting_) connecting_->close(ignored);
   connecting_ = nullptr;
   if (peers_.empty()) return;
-  const std::string peer = peers_[next_peer_++ % peers_.size()];
+  const std::string peer = NextPeer();
   error_code error;
   const Tcp::endpoint there(asio::ip::make_address(peer, error), settings_.first_port);
   if (error) return;
@@ -79,6 +79,7 @@
   const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
     if (&connection != connection_.get()) return;
     if (const auto* publication = std::get_if<wire::Publication>(&message.body)) Take(*publication);
+    if (const auto* referral = std::get_if<wire::Referral>(&message.body)) return Take(*referral);
     if (const auto* loads = std::get_if<wire::LoadSummary>(&message.body)) on_loads_(*loads);
   };
   connection_ = std::make_shared<mesh::Connection>(std::move(socket), on_message, nullptr);
@@ -93,7 +94,30 @@
   connection_->Send(std::make_shared<const std::string>(wire::EncodeFrame({settings_.ip, report})));
 }
 
+// Members in turn; a proxy that passes on once every member had no room.
+std::string Subscriber::NextPeer() {
+  if (refused_in_a_row_ >= peers_.size() && !relays_.empty()) {
+    refused_in_a_row_ = 0;
+    const std::string relay = relays_.back();
+    relays_.pop_back();
+    return relay;
+  }
+  return peers_[next_peer_++ % peers_.size()];
+}
+
+void Subscriber::Take(const wire::Referral& referral) {
+  constexpr std::size_t kMostRelays = 16;
+  ++refused_in_a_row_;
+  for (const std::string& proxy : referral.proxies) {
+    if (proxy != settings_.ip && relays_.size() < kMostRelays) relays_.push_back(proxy);
+  }
+  std::shuffle(relays_.begin(), relays_.end(), std::mt19937(std::random_device{}()));
+  Next();
+}
+
 void Subscriber::Take(const wire::Publication& publication) {
+  refused_in_a_row_ = 0;
+  relays_.clear();
   heard_at_ = steady_clock::now();
   fresh_ = publication.certain && milliseconds(publication.age_ms) < kOldest;
   for (const std::string& peer : publication.control_peers) {
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Follows the control plane: one subscription at a time, to a member that is in contact with the leader's quorum.
+// Follows the control plane: one subscription at a time, to a member that is in contact with the leader's quorum, or,
+// where members have no room, to a proxy that passes on what it is told.
 #ifndef KESTRELLINE_DATA_PLANE_SUBSCRIBER_H_
 #define KESTRELLINE_DATA_PLANE_SUBSCRIBER_H_
 
@@ -41,6 +42,8 @@
   void Next();
   void Connected(const std::string& peer, http::Tcp::socket socket);
   void Take(const wire::Publication& publication);
+  void Take(const wire::Referral& referral);
+  std::string NextPeer();
 
   http::asio::io_context& io_;
   const node::Settings& settings_;
@@ -49,6 +52,8 @@
   OnLoads on_loads_;
   std::vector<std::string> peers_;
   std::size_t next_peer_ = 0;
+  std::vector<std::string> relays_;  // proxies that members without room named
+  std::size_t refused_in_a_row_ = 0;
   std::shared_ptr<http::Tcp::socket> connecting_;
   mesh::ConnectionPtr connection_;
   http::steady_clock::time_point attempt_began_{};
--- a/src/control_plane/load_board.cpp
+++ b/src/distribution/load_board.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "control_plane/load_board.h"
+#include "distribution/load_board.h"
 
 #include <utility>
 
-namespace kestrelline::control_plane {
+namespace kestrelline::distribution {
 
 void LoadBoard::Put(Reports& reports, Time now, const std::string& from, wire::LoadReport report) {
   if (!reports.contains(from) && reports.size() >= kMostReporters) return;
@@ -44,9 +44,12 @@
     }
   }
   wire::LoadReport sum;
+  for (const Reports* reports : sources) {
+    for (const auto& [from, entry] : *reports) sum.proxies += entry.report.proxies;
+  }
   for (const auto& [backend, load] : loads) sum.loads.push_back(load);
   for (const auto& [service, demand] : demands) sum.demands.push_back(demand);
   return sum;
 }
 
-}  // namespace kestrelline::control_plane
+}  // namespace kestrelline::distribution
--- a/src/control_plane/load_board.h
+++ b/src/distribution/load_board.h
@@ -2,8 +2,8 @@
 //
 // Adds up the work that proxies have sent to backends, so that each proxy can go by what all of them sent. No I/O, no
 // clock.
-#ifndef KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
-#define KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
+#ifndef KESTRELLINE_DISTRIBUTION_LOAD_BOARD_H_
+#define KESTRELLINE_DISTRIBUTION_LOAD_BOARD_H_
 
 #include <chrono>
 #include <map>
@@ -12,7 +12,7 @@
 
 #include "wire/messages.h"
 
-namespace kestrelline::control_plane {
+namespace kestrelline::distribution {
 
 class LoadBoard {
  public:
@@ -43,6 +43,6 @@
   Reports members_;
 };
 
-}  // namespace kestrelline::control_plane
+}  // namespace kestrelline::distribution
 
-#endif  // KESTRELLINE_CONTROL_PLANE_LOAD_BOARD_H_
+#endif  // KESTRELLINE_DISTRIBUTION_LOAD_BOARD_H_
--- a/src/control_plane/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -1,19 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "control_plane/publisher.h"
+#include "distribution/publisher.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace kestrelline::control_plane {
+namespace kestrelline::distribution {
 
 wire::Publication Publisher::Compose(const Subscriber& subscriber, const Published& now) const {
   wire::Publication publication;
-  publication.certain = now.record_age.has_value();
-  publication.age_ms = static_cast<std::uint32_t>(now.record_age.value_or(std::chrono::milliseconds(0)).count());
-  if (now.record) {
-    publication.version = now.record->version;
-    if (now.record->version > subscriber.version) publication.configuration = now.record->configuration;
-  }
+  publication.certain = now.age.has_value();
+  publication.age_ms = static_cast<std::uint32_t>(now.age.value_or(std::chrono::milliseconds(0)).count());
+  publication.version = now.version;
+  publication.hops = now.hops;
+  if (now.configuration && now.version > subscriber.version) publication.configuration = *now.configuration;
   if (now.instances) {
     publication.instances_revision = now.instances->revision;
     publication.instances_age_ms = static_cast<std::uint32_t>(now.instances_age.count());
@@ -25,16 +24,33 @@
 }
 
 void Publisher::Advance(Subscriber& subscriber, const Published& now) {
-  if (now.record) subscriber.version = std::max(subscriber.version, now.record->version);
+  if (now.configuration) subscriber.version = std::max(subscriber.version, now.version);
   if (now.instances) subscriber.instances_revision = std::max(subscriber.instances_revision, now.instances->revision);
 }
 
-void Publisher::Subscribe(mesh::Connection& connection, const wire::Subscribe& subscribe, const Published& now) {
+bool Publisher::Subscribe(mesh::Connection& connection, const std::string& proxy, const wire::Subscribe& subscribe,
+                          const Published& now) {
+  // One that was here before has a new connection; the old one may not have ended yet.
+  std::erase_if(subscribers_, [&proxy](const auto& entry) { return entry.second.proxy == proxy; });
+  if (subscribers_.size() >= most_) {
+    connection.Send(mesh_.Encode(Refer()));
+    return false;
+  }
   Subscriber& subscriber = subscribers_[&connection];
-  subscriber = {connection.weak_from_this(), subscribe.version, subscribe.instances_revision};
+  subscriber = {connection.weak_from_this(), proxy, subscribe.version, subscribe.instances_revision};
   const mesh::Frame frame = mesh_.Encode(Compose(subscriber, now));
   Advance(subscriber, now);
   connection.Send(frame);
+  return true;
+}
+
+wire::Referral Publisher::Refer() const {
+  constexpr std::size_t kMostNamed = 8;
+  wire::Referral referral;
+  for (const auto& [key, subscriber] : subscribers_) {
+    if (referral.proxies.size() < kMostNamed) referral.proxies.push_back(subscriber.proxy);
+  }
+  return referral;
 }
 
 void Publisher::Publish(const Published& now) {
@@ -63,4 +79,4 @@
   }
 }
 
-}  // namespace kestrelline::control_plane
+}  // namespace kestrelline::distribution
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -163,6 +163,9 @@
   const Table cloud = root.Section("cloud");
   settings.cloud = cloud.MaybeEndpoint("address");
   settings.cloud_rate_per_s = cloud.NumberOr("rate_per_s", settings.cloud_rate_per_s);
+  const Table relay = root.Section("relay");
+  settings.most_subscribers = static_cast<std::size_t>(
+      relay.NumberOr("most_subscribers", static_cast<double>(settings.most_subscribers)));
   return settings;
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -301,11 +301,13 @@
   raw.publication.control_peers = Writing(publication.control_peers);
   raw.publication.instances_revision = publication.instances_revision;
   raw.publication.instances_age_ms = publication.instances_age_ms;
+  raw.publication.hops = publication.hops;
 }
 
 void Put(RawEnvelope& raw, const LoadReport& report) {
   raw.has_load_report = true;
   raw.load_report.loads = Writing(report.loads);
+  raw.load_report.proxies = report.proxies;
   raw.load_report.demands.funcs.encode = WriteDemands;
   raw.load_report.demands.arg = const_cast<std::vector<Demand>*>(&report.demands);
 }
@@ -314,6 +316,11 @@
   raw.load_summary.loads = Writing(summary.loads);
 }
 
+void Put(RawEnvelope& raw, const Referral& referral) {
+  raw.has_referral = true;
+  raw.referral.proxies = Writing(referral.proxies);
+}
+
 template <typename Raw>
 std::string EncodeRaw(const pb_msgdesc_t* fields, const Raw& raw, std::size_t room_before) {
   std::size_t size = 0;
@@ -334,6 +341,7 @@
   Publication publication;
   LoadReport load_report;
   LoadSummary load_summary;
+  Referral referral;
 };
 
 RecordPtr Shared(bool present, const kestrelline_wire_Record& raw, Record& record) {
@@ -350,6 +358,7 @@
   publication.proxies = raw.proxies;
   publication.instances_revision = raw.instances_revision;
   publication.instances_age_ms = raw.instances_age_ms;
+  publication.hops = raw.hops;
   if (raw.has_instances) {
     Finish(raw.instances, parts.published_instances);
     publication.instances = std::make_shared<const InstanceList>(std::move(parts.published_instances));
@@ -396,7 +405,11 @@
     return std::move(parts.subscribe);
   }
   if (raw.has_publication) return FinishPublication(raw.publication, parts);
-  if (raw.has_load_report) return std::move(parts.load_report);
+  if (raw.has_load_report) {
+    parts.load_report.proxies = raw.load_report.proxies;
+    return std::move(parts.load_report);
+  }
+  if (raw.has_referral) return std::move(parts.referral);
   if (raw.has_load_summary) return std::move(parts.load_summary);
   return std::monostate{};
 }
@@ -442,6 +455,7 @@
   raw.load_report.demands.funcs.decode = ReadDemands;
   raw.load_report.demands.arg = &parts.load_report.demands;
   raw.load_summary.loads = Reading(parts.load_summary.loads);
+  raw.referral.proxies = Reading(parts.referral.proxies);
   // PB_DECODE_NOINIT: the callbacks set above must survive; all other fields are zero already.
   pb_istream_t stream =
       pb_istream_from_buffer(reinterpret_cast<const pb_byte_t*>(bytes.data()), bytes.size());
--- a/src/wire/fleet.pb.c
+++ b/src/wire/fleet.pb.c
@@ -60,6 +60,9 @@
 PB_BIND(kestrelline_wire_LoadReport, kestrelline_wire_LoadReport, AUTO)
 
 
+PB_BIND(kestrelline_wire_Referral, kestrelline_wire_Referral, AUTO)
+
+
 PB_BIND(kestrelline_wire_LoadSummary, kestrelline_wire_LoadSummary, AUTO)
 
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -132,6 +132,7 @@
   std::vector<std::string> control_peers;  // internal addresses (IP) of the control plane's members
   std::uint64_t instances_revision = 0;    // of the newest list that the sender has
   std::uint32_t instances_age_ms = 0;      // since that list was read
+  std::uint32_t hops = 0;                  // of proxies between a member and the receiver
 };
 
 // Work that proxies have sent to a backend and that is not done yet.
@@ -151,13 +152,18 @@
 struct LoadReport {
   std::vector<BackendLoad> loads;
   std::vector<Demand> demands;
+  std::uint32_t proxies = 0;  // whose work this is
+};
+// There is no room for another subscriber; these proxies pass on what they are told.
+struct Referral {
+  std::vector<std::string> proxies;
 };
 struct LoadSummary {
   std::vector<BackendLoad> loads;
 };
 
 using Body = std::variant<std::monostate, Hello, VoteRequest, VoteReply, Heartbeat, HeartbeatReply, Append, LearnRequest,
-                          LearnReply, InstanceList, Subscribe, Publication, LoadReport, LoadSummary>;
+                          LearnReply, InstanceList, Subscribe, Publication, LoadReport, LoadSummary, Referral>;
 
 struct Message {
   std::string sender;  // the sender's IP address, its name within the fleet
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -252,7 +252,7 @@
   const Pick first = placement_.PickPrefill("s", prompt, {}, At(0));
   first.backend->reading_ms = 200;
   EXPECT_EQ(placement_.PickPrefill("s", prompt, {}, At(0)).backend, first.backend);
-  first.backend->reading_ms = 1000;
+  first.backend->reading_ms = 1000 + EngineModel{}.again_ms_per_token * 5000;
   EXPECT_NE(placement_.PickPrefill("s", prompt, {}, At(0)).backend, first.backend);
 }
 
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -127,6 +127,7 @@
     int plain = 1;  // of the service "app"
     int events = 5;
     milliseconds between{2};
+    int most_subscribers = 24;
   };
 
   explicit Fleet(Options options) : options_(options), work_(boost::asio::make_work_guard(io_)) {
@@ -295,7 +296,7 @@
     text += "[listen]\n";
     text += core ? listen("control", kControl) : listen("front", kFront) + listen("ready", kReady);
     text += "[limits]\nmax_fds = 1000\n[fault_tolerance]\nmachines = 1\n[bounds]\ngrace_s = 6\nmin_retries = 200\n";
-    text += "lease_ms = 300\n[cloud]\naddress = \"" + Ip(200) + ":" + std::to_string(kPlatform) + "\"\nrate_per_s = 50\n";
+    text += "lease_ms = 300\n[relay]\nmost_subscribers = " + std::to_string(options_.most_subscribers) + "\n[cloud]\naddress = \"" + Ip(200) + ":" + std::to_string(kPlatform) + "\"\nrate_per_s = 50\n";
     folder_.Write(name + ".toml", text);
     return folder_ / (name + ".toml");
   }
--- a/tests/router_fleet/processes_test.cpp
+++ b/tests/router_fleet/processes_test.cpp
@@ -115,6 +115,38 @@
   EXPECT_TRUE(Eventually([&] { return fleet.edge(0).Ended(); }));
 }
 
+TEST(FleetProcesses, ProxiesWithoutRoomAtAMemberAreToldByOtherProxies) {
+  Fleet::Options options;
+  options.edges = 7;
+  options.most_subscribers = 1;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2, 2000), 1), 200);
+  const auto in_force = [&] {
+    const std::string log = fleet.Log();
+    std::size_t count = 0;
+    for (std::size_t at = 0; (at = log.find("configuration version=2 routes", at)) != std::string::npos; ++at) ++count;
+    return count;
+  };
+  EXPECT_TRUE(Eventually([&] { return in_force() == 7; }));
+  // All of them count as proxies, however far from a member.
+  EXPECT_TRUE(Eventually([&] {
+    return Ask(fleet.CoreIp(0), Fleet::kControl, "GET /-/status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        .Has("\"proxies\":7");
+  }));
+  // Whoever passed on is gone: the others find another way.
+  fleet.edge(0).End(SIGKILL);
+  fleet.edge(1).End(SIGKILL);
+  fleet.edge(2).End(SIGKILL);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(3), 2), 200);
+  for (int i = 3; i < 7; ++i) {
+    EXPECT_TRUE(Eventually([&] {
+      const std::string log = fleet.Log();
+      return log.find("edge" + std::to_string(i) + " configuration version=3") != std::string::npos;
+    }));
+  }
+}
+
 TEST(FleetProcesses, SighupEndsNobody) {
   Fleet fleet({});
   ASSERT_TRUE(fleet.Begin());
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -83,20 +83,24 @@
   publication.control_peers = {"10.0.0.1", "10.0.0.2"};
   publication.instances_revision = 6;
   publication.instances_age_ms = 7;
+  publication.hops = 8;
   const auto again = AgainAs(publication);
   ASSERT_TRUE(again.instances);
   EXPECT_EQ(again.instances->instances, list.instances);
   EXPECT_EQ(again.control_peers, publication.control_peers);
   EXPECT_EQ(again.configuration, "text");
   EXPECT_EQ(again.instances_revision, 6u);
+  EXPECT_EQ(again.hops, 8u);
   EXPECT_EQ(AgainAs(list).instances, list.instances);
 }
 
 TEST(Codec, LoadsAndDemandsComeBack) {
-  const LoadReport report{{{1, 2, 3}, {4, 5, 6}}, {{"s", 7, 8}}};
+  const LoadReport report{{{1, 2, 3}, {4, 5, 6}}, {{"s", 7, 8}}, 9};
   const auto again = AgainAs(report);
   EXPECT_EQ(again.loads, report.loads);
   EXPECT_EQ(again.demands, report.demands);
+  EXPECT_EQ(again.proxies, 9u);
+  EXPECT_EQ(AgainAs(Referral{{"10.0.0.7"}}).proxies, (std::vector<std::string>{"10.0.0.7"}));
   EXPECT_EQ(AgainAs(LoadSummary{report.loads}).loads, report.loads);
 }
 
