--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -154,10 +154,9 @@
     loads_to_members_ = here.loads;
   }
   auto everywhere = loads_.Everywhere().loads;
-  if (everywhere != loads_to_proxies_ || repeat) {
-    publisher_.SendToAll(wire::LoadSummary{everywhere});
-    loads_to_proxies_ = std::move(everywhere);
-  }
+  auto told = repeat ? everywhere : distribution::ChangedLoads(loads_to_proxies_, everywhere);
+  if (repeat || !told.empty()) publisher_.SendToAll(wire::LoadSummary{std::move(told), repeat});
+  loads_to_proxies_ = std::move(everywhere);
 }
 
 // Only the leader gives orders, and not before any order of the one before it is old enough for both not to
--- a/src/data_plane/backend_table.cpp
+++ b/src/data_plane/backend_table.cpp
@@ -82,11 +82,12 @@
   return loads;
 }
 
-void BackendTable::TakeLoads(const std::vector<wire::BackendLoad>& loads, TimePoint now) {
+void BackendTable::TakeLoads(const wire::LoadSummary& summary, TimePoint now) {
   std::unordered_map<std::uint64_t, const wire::BackendLoad*> by_hash;
-  for (const wire::BackendLoad& load : loads) by_hash[load.backend] = &load;
+  for (const wire::BackendLoad& load : summary.loads) by_hash[load.backend] = &load;
   for (const auto& [id, backend] : by_id_) {
     const auto found = by_hash.find(backend->id_hash);
+    if (found == by_hash.end() && !summary.whole) continue;
     const wire::BackendLoad all = found == by_hash.end() ? wire::BackendLoad{} : *found->second;
     const auto others = [](std::uint32_t sum, std::uint32_t own) { return sum > own ? sum - own : 0; };
     backend->others_reading_ms = others(all.reading_ms, backend->reported_reading_ms);
--- a/src/data_plane/backend_table.h
+++ b/src/data_plane/backend_table.h
@@ -46,7 +46,7 @@
   // The work of this proxy that other proxies should know of; remembers what it told.
   std::vector<wire::BackendLoad> ReportLoads();
   // The work of all proxies.
-  void TakeLoads(const std::vector<wire::BackendLoad>& loads, TimePoint now);
+  void TakeLoads(const wire::LoadSummary& summary, TimePoint now);
   // Whether the work of others is known well enough to go by.
   bool KnowsLoads(TimePoint now) const;
 
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -36,7 +36,7 @@
           },
           [this](const wire::Publication& publication) { Take(publication); },
           [this](const wire::LoadSummary& summary) {
-            state_.backends.TakeLoads(summary.loads, DecisionTime());
+            state_.backends.TakeLoads(summary, DecisionTime());
             publisher_.SendToAll(summary);
           }),
       mesh_(io, settings.ip, settings.first_port),
--- a/src/distribution/load_board.cpp
+++ b/src/distribution/load_board.cpp
@@ -52,4 +52,18 @@
   return sum;
 }
 
+std::vector<wire::BackendLoad> ChangedLoads(const std::vector<wire::BackendLoad>& before,
+                                            const std::vector<wire::BackendLoad>& after) {
+  std::vector<wire::BackendLoad> changed;
+  auto old = before.begin();
+  for (const wire::BackendLoad& load : after) {
+    for (; old != before.end() && old->backend < load.backend; ++old) changed.push_back({old->backend, 0, 0});
+    const bool known = old != before.end() && old->backend == load.backend;
+    if (!known || *old != load) changed.push_back(load);
+    if (known) ++old;
+  }
+  for (; old != before.end(); ++old) changed.push_back({old->backend, 0, 0});
+  return changed;
+}
+
 }  // namespace kestrelline::distribution
--- a/src/distribution/load_board.h
+++ b/src/distribution/load_board.h
@@ -43,6 +43,10 @@
   Reports members_;
 };
 
+// What turns `before` into `after`, both in order of backends: a backend that is gone comes without work.
+std::vector<wire::BackendLoad> ChangedLoads(const std::vector<wire::BackendLoad>& before,
+                                            const std::vector<wire::BackendLoad>& after);
+
 }  // namespace kestrelline::distribution
 
 #endif  // KESTRELLINE_DISTRIBUTION_LOAD_BOARD_H_
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -314,6 +314,7 @@
 void Put(RawEnvelope& raw, const LoadSummary& summary) {
   raw.has_load_summary = true;
   raw.load_summary.loads = Writing(summary.loads);
+  raw.load_summary.whole = summary.whole;
 }
 
 void Put(RawEnvelope& raw, const Referral& referral) {
@@ -415,7 +416,10 @@
     return std::move(parts.load_report);
   }
   if (raw.has_referral) return std::move(parts.referral);
-  if (raw.has_load_summary) return std::move(parts.load_summary);
+  if (raw.has_load_summary) {
+    parts.load_summary.whole = raw.load_summary.whole;
+    return std::move(parts.load_summary);
+  }
   return std::monostate{};
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -161,6 +161,7 @@
 };
 struct LoadSummary {
   std::vector<BackendLoad> loads;
+  bool whole = false;  // backends that are not named have no work; else they are as they were
 };
 
 using Body = std::variant<std::monostate, Hello, VoteRequest, VoteReply, Heartbeat, HeartbeatReply, Append,
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -174,11 +174,15 @@
   const auto report = table.ReportLoads();
   ASSERT_EQ(report.size(), 1u);
   EXPECT_FALSE(table.KnowsLoads(At(100)));
-  table.TakeLoads({{a.id_hash, 100, 5}}, At(100));
+  table.TakeLoads({{{a.id_hash, 100, 5}}, true}, At(100));
   EXPECT_TRUE(table.KnowsLoads(At(200)));
   EXPECT_DOUBLE_EQ(a.others_reading_ms, 70);
   EXPECT_EQ(a.others_running, 3);
-  table.TakeLoads({{a.id_hash, 10, 1}}, At(150));
+  table.TakeLoads({{{ById(table, "b").id_hash, 7, 1}}, false}, At(120));
+  EXPECT_DOUBLE_EQ(a.others_reading_ms, 70);  // as it was: the summary is not whole
+  EXPECT_DOUBLE_EQ(ById(table, "b").others_reading_ms, 7);
+  table.TakeLoads({{{a.id_hash, 10, 1}}, true}, At(150));
+  EXPECT_DOUBLE_EQ(ById(table, "b").others_reading_ms, 0);
   EXPECT_DOUBLE_EQ(a.others_reading_ms, 0);
   EXPECT_FALSE(table.KnowsLoads(At(5000)));
 }
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -101,7 +101,8 @@
   EXPECT_EQ(again.demands, report.demands);
   EXPECT_EQ(again.proxies, 9u);
   EXPECT_EQ(AgainAs(Referral{{"10.0.0.7"}}).proxies, (std::vector<std::string>{"10.0.0.7"}));
-  EXPECT_EQ(AgainAs(LoadSummary{report.loads}).loads, report.loads);
+  EXPECT_EQ(AgainAs(LoadSummary{report.loads, true}).loads, report.loads);
+  EXPECT_TRUE(AgainAs(LoadSummary{report.loads, true}).whole);
 }
 
 TEST(Codec, RecordsAsTheyAreStored) {
