--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "listener.h"
 #include "session.h"
@@ -138,8 +139,11 @@
     if (cancelled) return;
     const auto now = Steady::now();
     const auto mark = static_cast<std::size_t>(static_cast<double>(places_.own()) * kRoomy);
-    for (auto it = sessions_.begin(); it != sessions_.end();) {
-      const auto session = *it++;
+    // A close may let another client in, and that one may make room: any of the others may be gone by its
+    // turn.
+    const std::vector<std::shared_ptr<Session>> present(sessions_.begin(), sessions_.end());
+    for (const auto& session : present) {
+      if (session->Closed()) continue;
       if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
         session->Close();
       } else {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -44,6 +44,7 @@
   // Its last answer is written; the client has not closed yet.
   bool Ending() const { return state_ == State::kDraining; }
   bool EndingSince(Steady::time_point at) const { return Ending() && since_ <= at; }
+  bool Closed() const { return state_ == State::kClosed; }
   // For how long it has been without a request, of one that asked before.
   bool SpareSince(Steady::time_point at) const { return asked_ && since_ <= at && Idle(); }
   bool SilentSince(Steady::time_point at) const { return !asked_ && since_ <= at && Idle(); }
--- a/tests/control_plane/replica_test.cpp
+++ b/tests/control_plane/replica_test.cpp
@@ -126,10 +126,7 @@
     ASSERT_TRUE(world.RunUntilLed());
     ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
-    std::vector<std::string> others;
-    for (const std::string& name : world.names()) {
-      if (name != leader) others.push_back(name);
-    }
+    const std::vector<std::string> others = world.Except(leader);
     world.Cut(leader, others[1]);
     world.Cut(others[1], leader);
     world.Run(Span(1500));
@@ -166,10 +163,7 @@
   ASSERT_TRUE(world.RunUntilLed());
   ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
-  std::vector<std::string> others;
-  for (const std::string& name : world.names()) {
-    if (name != leader) others.push_back(name);
-  }
+  const std::vector<std::string> others = world.Except(leader);
   world.SetSync(leader, Span(2000));
   world.SetSync(others[1], Span(2000));
   ASSERT_TRUE(world.Order(2, 1, "two"));
@@ -189,10 +183,7 @@
     ASSERT_TRUE(world.RunUntilLed());
     ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
-    std::vector<std::string> others;
-    for (const std::string& name : world.names()) {
-      if (name != leader) others.push_back(name);
-    }
+    const std::vector<std::string> others = world.Except(leader);
     world.SetSync(leader, Span(1500));
     world.CutOff(others[1]);
     ASSERT_TRUE(world.Order(2, 1, "two"));
@@ -263,10 +254,7 @@
     ASSERT_TRUE(world.RunUntilLed());
     ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
-    std::vector<std::string> others;
-    for (const std::string& name : world.names()) {
-      if (name != leader) others.push_back(name);
-    }
+    const std::vector<std::string> others = world.Except(leader);
     const std::string fresh = world.AddMachine();
     world.Start(fresh);
     world.Run(Span(1000));
@@ -293,10 +281,7 @@
   ASSERT_TRUE(world.RunUntilLed());
   ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
-  std::vector<std::string> others;
-  for (const std::string& name : world.names()) {
-    if (name != leader) others.push_back(name);
-  }
+  const std::vector<std::string> others = world.Except(leader);
   // Only the leader is there to learn from: that is no quorum of others.
   world.Kill(others[0], false);
   world.Wipe(others[1]);
--- a/tests/control_plane/replica_world.h
+++ b/tests/control_plane/replica_world.h
@@ -43,6 +43,14 @@
   static std::string NameOf(int index) { return "10.0.0." + std::to_string(index + 1); }
   const std::vector<std::string>& names() const { return names_; }
 
+  std::vector<std::string> Except(const std::string& one) const {
+    std::vector<std::string> others;
+    for (const std::string& name : names_) {
+      if (name != one) others.push_back(name);
+    }
+    return others;
+  }
+
   // A machine with an empty disk that was not there at the first start.
   std::string AddMachine(bool bootstrap = false) {
     const std::string name = NameOf(static_cast<int>(names_.size()));
