Configurations in quick succession: the newest goes out twice a second

Change: a member publishes changes at least half a second apart, the newest alone; one that comes after a calm goes out at once.

--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -16,8 +16,9 @@
 using namespace http;
 
 constexpr milliseconds kTick{50};
-constexpr milliseconds kPublishEvery{300};      // where nothing changed: how old the knowledge is
-constexpr milliseconds kRepeatLoadsEvery{500};  // where they don't change
+constexpr milliseconds kBetweenPublications{500};  // of changes in quick succession only the newest goes out
+constexpr milliseconds kPublishEvery{300};         // where nothing changed: how old the knowledge is
+constexpr milliseconds kRepeatLoadsEvery{500};     // where they don't change
 constexpr milliseconds kReadListEvery{500};
 constexpr milliseconds kLeadPoll{100};
 constexpr milliseconds kPlanEvery{400};
@@ -226,7 +227,8 @@
     Pump();
     ShareLoads();
     MoveStages();
-    if (Now() >= next_publication_) {
+    if (change_due_ && Now() >= *change_due_) PublishChange();
+    if (Now() >= next_publication_ && !change_due_) {
       next_publication_ = Now() + kPublishEvery;
       publisher_.Publish(CurrentlyPublished());
     }
@@ -258,6 +260,17 @@
   }
   published_record_ = replica_.committed();
   published_instances_ = instances_;
+  const Time due = last_change_published_ + kBetweenPublications;
+  if (Now() < due) {
+    change_due_ = due;
+    return;
+  }
+  PublishChange();
+}
+
+void ControlNode::PublishChange() {
+  change_due_.reset();
+  last_change_published_ = Now();
   next_publication_ = Now() + kPublishEvery;
   publisher_.Publish(CurrentlyPublished());
 }
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -48,6 +48,7 @@
   void LogRole();
   void ScheduleTick();
   void PublishIfChanged();
+  void PublishChange();
   distribution::Published CurrentlyPublished() const;
   http::Awaitable<void> ReadListWhileLeading();
   void MoveStages();
@@ -80,6 +81,8 @@
   wire::RecordPtr published_record_;
   wire::InstanceListPtr published_instances_;
   Time next_publication_{0};
+  Time last_change_published_{0};
+  std::optional<Time> change_due_;
   Role logged_role_ = Role::kLearning;
   bool stopping_ = false;
 };
