--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -258,10 +258,12 @@
     spdlog::info("configuration version={} members={}", replica_.committed()->version,
                  replica_.committed()->members.size());
   }
+  const bool list_changed =
+      instances_ != published_instances_;  // a backend leaves, or moves: proxies must know
   published_record_ = replica_.committed();
   published_instances_ = instances_;
   const Time due = last_change_published_ + kBetweenPublications;
-  if (Now() < due) {
+  if (Now() < due && !list_changed) {
     change_due_ = due;
     return;
   }
