--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -84,7 +84,7 @@
 };
 
 // Reads and checks a whole configuration.
-ParseResult Parse(std::string_view json);
+ParseResult Parse(std::string_view text);
 
 }  // namespace kestrelline::configuration
 
--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -1,13 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <jansson.h>
-
 #include <algorithm>
-#include <cctype>
 #include <set>
 #include <stdexcept>
 #include <utility>
 
 #include "configuration/configuration.h"
+#include "configuration/lower_case.h"
+#include "json/owned.h"
 
 namespace kestrelline::configuration {
 namespace {
@@ -17,11 +16,6 @@
   using std::runtime_error::runtime_error;
 };
 
-struct JsonRelease {
-  void operator()(json_t* value) const { json_decref(value); }
-};
-using JsonPtr = std::unique_ptr<json_t, JsonRelease>;
-
 // One JSON object and where it stands in the configuration, for messages.
 class Object {
  public:
@@ -81,12 +75,6 @@
   std::string where_;
 };
 
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return text;
-}
-
 RouteType ParseType(const Object& route) {
   const std::string type = route.Text("type");
   if (type == "safe") return RouteType::kSafe;
@@ -212,9 +200,9 @@
   return found == services.end() ? nullptr : &*found;
 }
 
-ParseResult Parse(std::string_view json) {
+ParseResult Parse(std::string_view text) {
   json_error_t error;
-  const JsonPtr root(json_loadb(json.data(), json.size(), JSON_REJECT_DUPLICATES, &error));
+  const json::Owned root = json::Load(text, error, JSON_REJECT_DUPLICATES);
   if (!root) return {nullptr, "line " + std::to_string(error.line) + ": " + error.text};
   try {
     return {std::make_shared<const Configuration>(ParseObject(Object(root.get(), "the configuration"))), ""};
--- a/src/configuration/route_table.cpp
+++ b/src/configuration/route_table.cpp
@@ -2,18 +2,14 @@
 #include "configuration/route_table.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
+#include "configuration/lower_case.h"
+
 namespace kestrelline::configuration {
 namespace {
 
-std::string HostName(std::string_view host) {
-  std::string name(host.substr(0, host.find(':')));
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return name;
-}
+std::string HostName(std::string_view host) { return LowerCase(std::string(host.substr(0, host.find(':')))); }
 
 }  // namespace
 
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -149,9 +149,7 @@
   const bool repeat = Now() >= next_load_report_;
   if (repeat) next_load_report_ = Now() + kRepeatLoadsEvery;
   if (here.loads != loads_to_members_ || (repeat && !here.demands.empty())) {
-    for (const std::string& node : replica_.KnownNodes()) {
-      if (node != settings_.ip) mesh_.Send(node, here);
-    }
+    SendToMembers(here);
     loads_to_members_ = here.loads;
   }
   auto everywhere = loads_.Everywhere().loads;
@@ -178,7 +176,9 @@
     spdlog::debug("demand service={} reading_ms_per_s={} output_tokens_per_s={}", demand.service,
                   demand.reading_ms_per_s, demand.output_tokens_per_s);
   }
-  for (StageOrder& order : planner_.Plan(Now(), listed_, demands)) {
+  auto orders = planner_.Plan(Now(), listed_, demands);
+  if (!orders.empty()) ShowList();  // no proxy picks them from now on
+  for (StageOrder& order : orders) {
     spdlog::info("order instance={} stage={}", order.instance,
                  order.goal == StageGoal::kPrefill ? "prefill" : "decode");
     asio::co_spawn(io_, Order(std::move(order)), asio::detached);
@@ -186,7 +186,6 @@
 }
 
 Awaitable<void> ControlNode::Order(StageOrder order) {
-  TakeList(listed_);  // no proxy picks it from now on
   const std::string instance = order.instance;
   const OrderEnd end = co_await GiveOrder(io_, std::move(order), settings_.node_name, replica_.epoch());
   if (end != OrderEnd::kRefused) co_return;
@@ -198,7 +197,7 @@
 void ControlNode::Pump() {
   for (Effect& effect : replica_.TakeEffects()) {
     if (auto* send = std::get_if<Send>(&effect)) {
-      mesh_.Send(send->to, send->body);
+      mesh_.Send(send->to, mesh_.Encode(send->body));
     } else if (auto* persist = std::get_if<Persist>(&effect)) {
       store_->Write(std::move(*persist));
     } else if (const auto* decided = std::get_if<Decided>(&effect)) {
@@ -227,10 +226,10 @@
     Pump();
     ShareLoads();
     MoveStages();
-    if (change_due_ && Now() >= *change_due_) PublishChange();
-    if (Now() >= next_publication_ && !change_due_) {
-      next_publication_ = Now() + kPublishEvery;
-      publisher_.Publish(CurrentlyPublished());
+    if (change_waits_) {
+      if (Now() >= last_change_published_ + kBetweenPublications) PublishChange();
+    } else if (Now() >= next_publication_) {
+      Publish();
     }
     ScheduleTick();
   });
@@ -262,21 +261,28 @@
       instances_ != published_instances_;  // a backend leaves, or moves: proxies must know
   published_record_ = replica_.committed();
   published_instances_ = instances_;
-  const Time due = last_change_published_ + kBetweenPublications;
-  if (Now() < due && !list_changed) {
-    change_due_ = due;
-    return;
-  }
-  PublishChange();
+  change_waits_ = !list_changed && Now() < last_change_published_ + kBetweenPublications;
+  if (!change_waits_) PublishChange();
 }
 
 void ControlNode::PublishChange() {
-  change_due_.reset();
+  change_waits_ = false;
   last_change_published_ = Now();
+  Publish();
+}
+
+void ControlNode::Publish() {
   next_publication_ = Now() + kPublishEvery;
   publisher_.Publish(CurrentlyPublished());
 }
 
+void ControlNode::SendToMembers(const wire::Body& body) {
+  const mesh::Frame frame = mesh_.Encode(body);
+  for (const std::string& node : replica_.KnownNodes()) {
+    if (node != settings_.ip) mesh_.Send(node, frame);
+  }
+}
+
 Awaitable<void> ControlNode::ReadListWhileLeading() {
   asio::steady_timer timer(io_);
   while (!stopping_) {
@@ -293,20 +299,25 @@
 
 void ControlNode::TakeList(std::vector<wire::Instance> instances) {
   for (wire::Instance& instance : instances) instance.warmup_left_ms = 0;  // changes all the time; not used
-  listed_ = instances;
-  planner_.MarkMoving(Now(), instances);
+  listed_ = std::move(instances);
+  instances_read_ = Now();
+  ShowList();
+}
+
+// The list as it was read, with marks at backends that are being moved, to proxies and members.
+void ControlNode::ShowList() {
+  wire::InstanceList list;
+  list.instances = listed_;
+  planner_.MarkMoving(Now(), list.instances);
   const std::uint64_t first = replica_.epoch() << kEpochShift;
-  if (!instances_ || instances_->instances != instances || instances_->revision < first) {
-    wire::InstanceList list;
+  if (!instances_ || instances_->instances != list.instances || instances_->revision < first) {
     list.revision = std::max(first, instances_ ? instances_->revision : 0) + 1;
-    list.instances = std::move(instances);
     instances_ = std::make_shared<const wire::InstanceList>(std::move(list));
   }
-  instances_read_ = Now();
   PublishIfChanged();
-  for (const std::string& node : replica_.KnownNodes()) {
-    if (node != settings_.ip) mesh_.Send(node, *instances_);
-  }
+  wire::InstanceList told = *instances_;
+  told.age_ms = static_cast<std::uint32_t>((Now() - instances_read_).count());
+  SendToMembers(told);
 }
 
 }  // namespace kestrelline::control_plane
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -47,13 +47,16 @@
   void Pump();
   void LogRole();
   void ScheduleTick();
+  void SendToMembers(const wire::Body& body);
   void PublishIfChanged();
   void PublishChange();
+  void Publish();
   distribution::Published CurrentlyPublished() const;
   http::Awaitable<void> ReadListWhileLeading();
   void MoveStages();
   http::Awaitable<void> Order(StageOrder order);
   void TakeList(std::vector<wire::Instance> instances);
+  void ShowList();
 
   http::asio::io_context& io_;
   const node::Settings settings_;
@@ -82,7 +85,7 @@
   wire::InstanceListPtr published_instances_;
   Time next_publication_{0};
   Time last_change_published_{0};
-  std::optional<Time> change_due_;
+  bool change_waits_ = false;  // for kBetweenPublications since then
   Role logged_role_ = Role::kLearning;
   bool stopping_ = false;
 };
--- a/src/control_plane/replica.cpp
+++ b/src/control_plane/replica.cpp
@@ -69,9 +69,8 @@
 
 void Replica::Write(Writing writing) {
   const std::uint64_t ticket = next_ticket_++;
-  writing.promised = promised_;
   if (writing.record) pending_position_ = std::max(pending_position_, writing.record->position);
-  Emit(Persist{ticket, writing.promised, writing.record});
+  Emit(Persist{ticket, promised_, writing.record});
   writings_.emplace(ticket, std::move(writing));
 }
 
@@ -88,8 +87,6 @@
   }
   if (writing.record && (!record_ || writing.record->position > record_->position)) record_ = writing.record;
   switch (writing.then) {
-    case Writing::Then::kNothing:
-      break;
     case Writing::Then::kVote: {
       wire::VoteReply reply{writing.epoch, false, promised_ == writing.epoch, promised_, nullptr,
                             false,         false};
@@ -98,7 +95,7 @@
       break;
     }
     case Writing::Then::kStored:
-      SendTo(writing.to, wire::HeartbeatReply{writing.epoch, 0, promised_, StoredPosition(), proxies_here_});
+      Reply(writing.to, writing.epoch, 0);
       break;
     case Writing::Then::kStand:
       if (role_ != Role::kCandidate || trial_ || epoch_ != writing.epoch) break;
@@ -213,6 +210,10 @@
 
 // --- following ---
 
+void Replica::Reply(const std::string& to, std::uint64_t epoch, std::uint64_t sent_ms) {
+  SendTo(to, wire::HeartbeatReply{epoch, sent_ms, promised_, StoredPosition(), proxies_here_});
+}
+
 void Replica::RollElection(Time now) {
   const auto jitter = static_cast<std::uint64_t>(options_.election_jitter.count());
   const Span wait(static_cast<std::int64_t>(jitter == 0 ? 0 : random_() % jitter));
@@ -247,7 +248,7 @@
   if (!voter_) return;
   if (beat.epoch < promised_) {
     highest_seen_ = std::max(highest_seen_, beat.epoch);
-    SendTo(from, wire::HeartbeatReply{beat.epoch, beat.sent_ms, promised_, StoredPosition(), proxies_here_});
+    Reply(from, beat.epoch, beat.sent_ms);
     return;
   }
   Follow(now, from, beat.epoch);
@@ -259,20 +260,20 @@
   if (record_ && record_->position == beat.committed) committed_ = record_;
   if (beat.leased && committed_ && committed_->position == beat.committed) heard_certain_ = now;
   proxies_everywhere_ = beat.proxies;
-  SendTo(from, wire::HeartbeatReply{beat.epoch, beat.sent_ms, promised_, StoredPosition(), proxies_here_});
+  Reply(from, beat.epoch, beat.sent_ms);
 }
 
 void Replica::On(Time now, const std::string& from, const wire::Append& append) {
   Know(from);
   if (!voter_ || !append.record) return;
   if (append.epoch < promised_) {
-    SendTo(from, wire::HeartbeatReply{append.epoch, 0, promised_, StoredPosition(), proxies_here_});
+    Reply(from, append.epoch, 0);
     return;
   }
   Follow(now, from, append.epoch);
   for (const std::string& elector : Electors(*append.record)) Know(elector);
   if (append.record->position <= StoredPosition()) {
-    SendTo(from, wire::HeartbeatReply{append.epoch, 0, promised_, StoredPosition(), proxies_here_});
+    Reply(from, append.epoch, 0);
     return;
   }
   if (append.record->position <= pending_position_ || writings_.size() >= kMostPersists) return;
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -147,7 +147,6 @@
   // What is waiting for the disk.
   struct Writing {
     enum class Then {
-      kNothing,
       kVote,
       kStored,
       kStand,
@@ -155,8 +154,7 @@
       kTaught,
       kLearned,
       kBootstrapped
-    } then = Then::kNothing;
-    std::uint64_t promised = 0;
+    } then = Then::kOwnCopy;
     wire::RecordPtr record;
     std::string to;
     std::uint64_t epoch = 0;
@@ -182,6 +180,8 @@
   void SendTo(const std::string& to, wire::Body body) { Emit(Send{to, std::move(body)}); }
   void Write(Writing writing);
   void Know(const std::string& node);
+  // Tells a leader what is stored here; `sent_ms` of the heartbeat that is answered, or 0.
+  void Reply(const std::string& to, std::uint64_t epoch, std::uint64_t sent_ms);
   wire::Position StoredPosition() const { return record_ ? record_->position : wire::Position{}; }
 
   void TickLearning(Time now);
@@ -208,7 +208,8 @@
   void TryCommit(Time now);
   void NextWork(Time now);
   bool ExchangeMembers(Time now);
-  Outcome Judge(const Change& change, bool& begins) const;
+  // What becomes of a change right away; nothing if it is to be replicated.
+  std::optional<Outcome> Judge(const Change& change) const;
 
   ReplicaOptions options_;
   std::mt19937_64 random_;
--- a/src/control_plane/replica_leader.cpp
+++ b/src/control_plane/replica_leader.cpp
@@ -230,10 +230,8 @@
     if (ExchangeMembers(now) || orders_.empty()) return;
     Order order = std::move(orders_.front());
     orders_.pop_front();
-    bool begins = false;
-    const Outcome outcome = Judge(order.change, begins);
-    if (!begins) {
-      Emit(Decided{order.number, outcome});
+    if (const auto outcome = Judge(order.change)) {
+      Emit(Decided{order.number, *outcome});
       continue;
     }
     wire::Record next = *current_;
@@ -246,14 +244,13 @@
   }
 }
 
-Outcome Replica::Judge(const Change& change, bool& begins) const {
+std::optional<Outcome> Replica::Judge(const Change& change) const {
   const wire::AcceptedChange same{change.version, change.digest};
   const auto& history = current_->history;
   if (std::find(history.rbegin(), history.rend(), same) != history.rend()) return Outcome::kTaken;
   if (change.builds_on != current_->version) return Outcome::kConflict;
   if (change.version <= current_->version) return Outcome::kOldVersion;
-  begins = true;
-  return Outcome::kTaken;
+  return std::nullopt;
 }
 
 // Ends an exchange that is committed on both sides, or begins one. True if the record changed.
--- a/src/control_plane/stage_orders.cpp
+++ b/src/control_plane/stage_orders.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "http/sockets.h"
 #include "node/settings.h"
 
 namespace kestrelline::control_plane {
@@ -33,15 +34,11 @@
                               std::uint64_t fence) {
   const auto endpoint = node::ParseEndpoint(order.address);
   if (!endpoint) co_return OrderEnd::kRefused;
-  error_code error;
-  const Tcp::endpoint there(asio::ip::make_address(endpoint->ip, error), endpoint->port);
-  if (error) co_return OrderEnd::kRefused;
   beast::tcp_stream stream(io);
-  stream.expires_after(kPatience);
-  const auto [connect_error] = co_await stream.async_connect(there, kTuple);
-  if (connect_error) co_return OrderEnd::kRefused;
+  if (co_await Connect(stream, *endpoint, steady_clock::now() + kPatience)) co_return OrderEnd::kRefused;
   // What a cut holds up is dropped with the connection.
-  stream.socket().set_option(asio::socket_base::linger(true, 0), error);
+  error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   const auto request = Compose(order, holder, fence);
   const auto [write_error, written] = co_await bhttp::async_write(stream, request, kTuple);
   if (write_error) co_return OrderEnd::kUnknown;
--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <utility>
 
+#include "http/sockets.h"
 #include "node/settings.h"
 
 namespace kestrelline::data_plane {
@@ -37,13 +38,7 @@
 Awaitable<error_code> BackendConnection::Connect(steady_clock::time_point until) {
   const auto endpoint = node::ParseEndpoint(address_);
   if (!endpoint) co_return asio::error::invalid_argument;
-  error_code error;
-  const Tcp::endpoint there(asio::ip::make_address(endpoint->ip, error), endpoint->port);
-  if (error) co_return error;
-  stream_.expires_at(until);
-  const auto [failed] = co_await stream_.async_connect(there, kTuple);
-  if (!failed) stream_.socket().set_option(Tcp::no_delay(true), error);
-  co_return failed;
+  co_return co_await http::Connect(stream_, *endpoint, until);
 }
 
 Awaitable<error_code> BackendConnection::Send(const std::string& head, const std::string& body,
@@ -101,12 +96,7 @@
 bool BackendConnection::Reusable() const { return usable_ && whole() && idle_until_ > steady_clock::now(); }
 
 bool BackendConnection::Quiet() {
-  if (!stream_.socket().is_open()) return false;
-  error_code error;
-  char byte = 0;
-  stream_.socket().non_blocking(true, error);
-  stream_.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
+  return stream_.socket().is_open() && Peek(stream_.socket()) == Peeked::kNothing;
 }
 
 void BackendConnection::Abort() {
--- a/src/data_plane/backend_connection.h
+++ b/src/data_plane/backend_connection.h
@@ -31,7 +31,7 @@
   BackendConnection(http::asio::io_context& io, std::string address);
 
   Awaitable<error_code> Connect(steady_clock::time_point until);
-  // `head` is complete, with its blank line. `sent_any`: whether a byte may have reached the backend.
+  // `head` is complete, with its blank line. After an error a byte may have arrived.
   Awaitable<error_code> Send(const std::string& head, const std::string& body,
                              steady_clock::time_point until);
   // Reads the head of the answer to `request_id`; an answer to an earlier request is passed over.
--- a/src/data_plane/backend_table.cpp
+++ b/src/data_plane/backend_table.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "data_plane/backend_table.h"
 
-#include <functional>
+#include "hashing/fnv.h"
 
 namespace kestrelline::data_plane {
 namespace {
@@ -23,7 +23,7 @@
     BackendPtr& backend = by_id_[instance.id];
     if (!backend) {
       backend = std::make_shared<Backend>();
-      backend->id_hash = std::hash<std::string>{}(instance.id);
+      backend->id_hash = hashing::Fnv1a(instance.id);
     } else if (StageOf(backend->info) != StageOf(instance)) {
       backend->health = {};  // it is counted in another group from now on
     }
--- a/src/data_plane/client_connection.cpp
+++ b/src/data_plane/client_connection.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "http/sockets.h"
+
 namespace kestrelline::data_plane {
 namespace {
 
@@ -14,18 +16,6 @@
 constexpr milliseconds kWritePatience{5000};  // for a client that does not read
 constexpr milliseconds kBodyPatience{10000};
 
-bhttp::status StatusOf(const error_code& error) {
-  if (error == bhttp::error::body_limit) return bhttp::status::payload_too_large;
-  if (error == bhttp::error::header_limit) return bhttp::status::request_header_fields_too_large;
-  if (error == beast::error::timeout) return bhttp::status::request_timeout;
-  return bhttp::status::bad_request;
-}
-
-bool IsProtocolError(const error_code& error) {
-  return error.category() == make_error_code(bhttp::error::bad_method).category() &&
-         error != bhttp::error::end_of_stream && error != bhttp::error::partial_message;
-}
-
 std::string ChunkHead(std::size_t size) {
   std::array<char, 24> text{};
   const int length = std::snprintf(text.data(), text.size(), "%zx\r\n", size);
@@ -118,13 +108,9 @@
 void ClientConnection::WaitForEnd() {
   stream_.socket().async_wait(Tcp::socket::wait_read, [this, watch = watch_](const error_code& error) {
     if (!watch->active || error) return;  // `this` may be gone where the watch is not active
-    char byte = 0;
-    error_code peek_error;
-    stream_.socket().non_blocking(true, peek_error);
-    const std::size_t count =
-        stream_.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, peek_error);
-    if (peek_error == asio::error::would_block) return WaitForEnd();
-    if (!peek_error && count > 0) return;  // the next request is there already: the client is too
+    const Peeked peeked = Peek(stream_.socket());
+    if (peeked == Peeked::kNothing) return WaitForEnd();
+    if (peeked == Peeked::kBytes) return;  // the next request is there already: the client is too
     watch->gone = true;
     watch->on_gone();
   });
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "data_plane/request_flow.h"
+#include "http/sockets.h"
 
 namespace kestrelline::data_plane {
 namespace {
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -1,47 +1,31 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Requests to services with engines: who reads the prompt, who generates, what follows a stream that broke.
-#include <jansson.h>
-
 #include <utility>
 
 #include "data_plane/request_flow.h"
+#include "json/owned.h"
 
 namespace kestrelline::data_plane {
 namespace {
 
 using namespace http;
 
-constexpr milliseconds kDrainPatience{200};
 constexpr std::size_t kLongestReceipt = 64 * 1024;
 // A prompt that is not read after this much more than it should take is read elsewhere.
 constexpr double kPrefillPatienceFactor = 3;
 constexpr double kPrefillPatienceMs = 1200;
 constexpr milliseconds kFreePatience{500};
 
-struct JsonRelease {
-  void operator()(json_t* value) const { json_decref(value); }
-};
-
-// What a prefill backend says once it has read a prompt.
-struct Receipt {
-  std::string handle;
-  std::string version;
-};
-
-std::optional<Receipt> ParseReceipt(const std::string& body) {
-  json_error_t error;
-  const std::unique_ptr<json_t, JsonRelease> root(json_loadb(body.data(), body.size(), 0, &error));
+// The handle in what a prefill backend says once it has read a prompt; nothing if it says something else.
+std::optional<std::string> ParseHandle(const std::string& body) {
+  const json::Owned root = json::Load(body);
   const json_t* handle = root ? json_object_get(root.get(), "kv_handle") : nullptr;
   if (!json_is_string(handle)) return std::nullopt;
-  Receipt receipt;
-  receipt.handle = json_string_value(handle);
-  const json_t* version = json_object_get(root.get(), "version");
-  if (json_is_integer(version)) receipt.version = std::to_string(json_integer_value(version));
-  return receipt;
+  return json_string_value(handle);
 }
 
-steady_clock::time_point After(double ms) {
+steady_clock::time_point In(double ms) {
   return steady_clock::now() + std::chrono::duration_cast<steady_clock::duration>(Duration(ms));
 }
 
@@ -77,21 +61,15 @@
     std::optional<ReadingUnderWay> reading;
     if (target->reading_ms > 0) reading.emplace(target->backend, prompt_, target->reading_ms, DecisionTime());
     Attempt attempt(state_, target->backend);
-    const AttemptEnd end = co_await Send(attempt, target->fields, give_up_at_);
+    const AttemptEnd end = co_await Send(attempt, target->fields, give_up_at_, runs_sent_);
     reading.reset();
-    if (end == AttemptEnd::kNotSent) --runs_sent_;
     if (end == AttemptEnd::kAnswered) {
       read_.reset();  // taken
       ++may_have_run_;
       co_return co_await PassOn(attempt);
     }
-    if (end == AttemptEnd::kNotExecuted) {
-      std::string ignored;
-      co_await attempt.ReadBody(ignored, kLongestReceipt, steady_clock::now() + kDrainPatience);
-      attempt.Finish();
-    }
     if (read_) AfterHandOver(end, attempt);
-    if (After(end, *target->backend) != Next::kTryAgain) break;
+    if (!MayTryAgain(end, *target->backend)) break;
   }
   if (read_) FreeHandle(*read_);
   co_await GiveUp();
@@ -142,25 +120,23 @@
 Awaitable<std::optional<RequestFlow::ReadPrompt>> RequestFlow::Prefill(Pick pick) {
   const ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, DecisionTime());
   Attempt attempt(state_, pick.backend);
-  const auto until =
-      std::min(give_up_at_,
-               kestrelline::data_plane::After(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
-  const AttemptEnd end = co_await Send(attempt, "Serving-Stage: prefill\r\n" + PriorityField(), until);
-  if (end == AttemptEnd::kNotSent) --readings_sent_;
-  if (end != AttemptEnd::kAnswered && end != AttemptEnd::kNotExecuted) co_return std::nullopt;
+  const auto until = std::min(give_up_at_, In(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
+  const std::string fields = "Serving-Stage: prefill\r\n" + PriorityField();
+  const AttemptEnd end = co_await Send(attempt, fields, until, readings_sent_);
+  if (end != AttemptEnd::kAnswered) co_return std::nullopt;
   std::string body;
   active_ = &attempt;
   const error_code error = co_await attempt.ReadBody(body, kLongestReceipt, until);
   active_ = nullptr;
   if (error) co_return std::nullopt;
   attempt.Finish();
-  if (end == AttemptEnd::kNotExecuted || attempt.head().result() != bhttp::status::ok) co_return std::nullopt;
-  auto receipt = ParseReceipt(body);
-  if (!receipt) {
+  if (attempt.head().result() != bhttp::status::ok) co_return std::nullopt;
+  auto handle = ParseHandle(body);
+  if (!handle) {
     ++may_have_run_;  // whatever this was, it was no reading
     co_return std::nullopt;
   }
-  co_return ReadPrompt{pick.backend, std::move(receipt->handle), std::move(receipt->version)};
+  co_return ReadPrompt{pick.backend, std::move(*handle)};
 }
 
 // A stream that may be resumed goes on at another backend, after its last whole event.
@@ -169,13 +145,12 @@
     const TimePoint now = DecisionTime();
     const Pick pick = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     if (!pick.backend) break;
-    std::optional<ReadingUnderWay> reading;
-    reading.emplace(pick.backend, prompt_, pick.work_ms, now);
+    ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, now);
     std::string fields = PriorityField();
     if (!events_.last_id().empty()) fields += "Last-Event-Id: " + events_.last_id() + "\r\n";
     Attempt attempt(state_, pick.backend);
-    const AttemptEnd end = co_await Send(attempt, fields, give_up_at_);
-    reading.reset();
+    const AttemptEnd end = co_await Send(attempt, fields, give_up_at_, runs_sent_);
+    reading.End();
     excluded_.push_back(pick.backend.get());
     if (end == AttemptEnd::kNotSent || end == AttemptEnd::kNotExecuted) continue;
     ++may_have_run_;
--- a/src/data_plane/placement.cpp
+++ b/src/data_plane/placement.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "hashing/mix.h"
+
 namespace kestrelline::data_plane {
 namespace {
 
@@ -16,13 +18,6 @@
   return std::find(excluded.begin(), excluded.end(), backend) != excluded.end();
 }
 
-std::uint64_t Mix(std::uint64_t a, std::uint64_t b) {
-  std::uint64_t x = a ^ (b + 0x9e3779b97f4a7c15 + (a << 6) + (a >> 2));
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
-  return x ^ (x >> 31);
-}
-
 // Requests of others that the backend holds, as far as it told lately.
 double OthersAt(const Backend& backend, TimePoint now) {
   if (!backend.load.known) return 0;
@@ -69,7 +64,7 @@
   std::uint64_t highest = 0;
   for (const BackendPtr& backend : group.backends) {
     if (!backend->Serves() || backend->health.ejected) continue;
-    const std::uint64_t rank = Mix(chain, backend->id_hash);
+    const std::uint64_t rank = hashing::Mixed(chain ^ backend->id_hash);
     if (preferred != nullptr && rank <= highest) continue;
     preferred = backend.get();
     highest = rank;
--- a/src/data_plane/prompt.cpp
+++ b/src/data_plane/prompt.cpp
@@ -4,15 +4,16 @@
 #include <algorithm>
 #include <charconv>
 
+#include "hashing/fnv.h"
+
 namespace kestrelline::data_plane {
 namespace {
 
-constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325;
-constexpr std::uint64_t kFnvPrime = 0x100000001b3;
+// No id holds this byte: ids that join to the same text differ.
+constexpr std::string_view kEndOfId = "\xff";
 
 std::uint64_t Extend(std::uint64_t chain, std::string_view id) {
-  for (const char c : id) chain = (chain ^ static_cast<unsigned char>(c)) * kFnvPrime;
-  return (chain ^ 0xff) * kFnvPrime;  // ends the id
+  return hashing::Fnv1a(kEndOfId, hashing::Fnv1a(id, chain));
 }
 
 std::int64_t ToNumber(std::string_view text) {
@@ -41,7 +42,7 @@
   Prompt prompt;
   prompt.tokens = ToNumber(TakeField(token_count));
   prompt.output_tokens = ToNumber(TakeField(token_count));
-  std::uint64_t chain = kFnvOffset;
+  std::uint64_t chain = hashing::kFnvStart;
   std::int64_t sum = 0;
   while (!prompt_prefix.empty() && prompt.parts.size() < kMostParts) {
     const std::string_view field = TakeField(prompt_prefix);
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -18,37 +18,20 @@
 constexpr milliseconds kNotReadyRetry{1000};
 constexpr milliseconds kRefusedRetry{150};
 
-// Fields of one connection, and those that this proxy sets itself.
-bool IsOwnField(std::string_view name) {
-  static constexpr std::array<std::string_view, 17> kOwn = {"connection",
-                                                            "keep-alive",
-                                                            "proxy-connection",
-                                                            "proxy-authenticate",
-                                                            "proxy-authorization",
-                                                            "te",
-                                                            "trailer",
-                                                            "transfer-encoding",
-                                                            "upgrade",
-                                                            "content-length",
-                                                            "expect",
-                                                            "deadline-ms",
-                                                            "expect-instance",
-                                                            "serving-stage",
-                                                            "kv-from",
-                                                            "expect-version",
-                                                            "priority"};
-  return std::any_of(kOwn.begin(), kOwn.end(), [name](std::string_view own) {
-    return beast::iequals({name.data(), name.size()}, own);
+template <std::size_t kCount>
+bool IsOneOf(const std::array<std::string_view, kCount>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [name](std::string_view one) {
+    return beast::iequals({name.data(), name.size()}, one);
   });
 }
 
-bool IsAnswerField(std::string_view name) {
-  static constexpr std::array<std::string_view, 7> kOwn = {
-      "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "content-length"};
-  return std::none_of(kOwn.begin(), kOwn.end(), [name](std::string_view own) {
-    return beast::iequals({name.data(), name.size()}, own);
-  });
-}
+// Fields that concern one connection alone, in requests and answers.
+constexpr std::array<std::string_view, 7> kConnectionFields = {
+    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "content-length"};
+// Of requests besides: those that end here, and those that this proxy sets itself.
+constexpr std::array<std::string_view, 10> kRequestFields = {
+    "proxy-authenticate", "proxy-authorization", "upgrade", "expect",         "deadline-ms",
+    "expect-instance",    "serving-stage",       "kv-from", "expect-version", "priority"};
 
 std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
   std::int64_t value = 0;
@@ -62,7 +45,7 @@
   text += std::string_view(head.reason());
   text += "\r\n";
   for (const auto& field : head) {
-    if (!IsAnswerField(field.name_string())) continue;
+    if (IsOneOf(kConnectionFields, field.name_string())) continue;
     text += std::string_view(field.name_string());
     text += ": ";
     text += std::string_view(field.value());
@@ -108,28 +91,28 @@
     const Pick pick = state_.placement.PickPlain(service_, excluded_, DecisionTime());
     if (!pick.backend || OutOfTime() || !PayForRun()) co_return co_await GiveUp();
     Attempt attempt(state_, pick.backend);
-    const AttemptEnd end = co_await Send(attempt, "", give_up_at_);
-    if (end == AttemptEnd::kNotSent) --runs_sent_;
+    const AttemptEnd end = co_await Send(attempt, "", give_up_at_, runs_sent_);
     if (end == AttemptEnd::kAnswered) {
       ++may_have_run_;
       co_return co_await PassOn(attempt);
     }
-    if (end == AttemptEnd::kNotExecuted) {
-      std::string ignored;
-      co_await attempt.ReadBody(ignored, kLongestRefusal, steady_clock::now() + kDrainPatience);
-      attempt.Finish();
-    }
-    if (After(end, *pick.backend) != Next::kTryAgain) co_return co_await GiveUp();
+    if (!MayTryAgain(end, *pick.backend)) co_return co_await GiveUp();
   }
   co_await GiveUp();
 }
 
 Awaitable<AttemptEnd> RequestFlow::Send(Attempt& attempt, const std::string& extra_fields,
-                                        steady_clock::time_point until) {
+                                        steady_clock::time_point until, int& arrivals) {
   active_ = &attempt;
   const std::string head = BackendHead(attempt.backend(), extra_fields);
   const AttemptEnd end = co_await attempt.Run(head, request().body(), request_id_, until);
   active_ = nullptr;
+  if (end == AttemptEnd::kNotSent) --arrivals;
+  if (end == AttemptEnd::kNotExecuted) {
+    std::string ignored;
+    co_await attempt.ReadBody(ignored, kLongestRefusal, steady_clock::now() + kDrainPatience);
+    attempt.Finish();
+  }
   co_return end;
 }
 
@@ -140,7 +123,8 @@
   head += std::string_view(request.target());
   head += " HTTP/1.1\r\n";
   for (const auto& field : request) {
-    if (IsOwnField(field.name_string())) continue;
+    if (IsOneOf(kConnectionFields, field.name_string()) || IsOneOf(kRequestFields, field.name_string()))
+      continue;
     head += std::string_view(field.name_string());
     head += ": ";
     head += std::string_view(field.value());
@@ -175,14 +159,12 @@
   return true;
 }
 
-RequestFlow::Next RequestFlow::After(AttemptEnd end, const Backend& backend) {
+bool RequestFlow::MayTryAgain(AttemptEnd end, const Backend& backend) {
   excluded_.push_back(&backend);
-  if (client_.gone()) return Next::kDone;
-  if (end == AttemptEnd::kBroken || end == AttemptEnd::kTimedOut) {
-    ++may_have_run_;
-    if (!MayRunAgain()) return Next::kGiveUp;
-  }
-  return Next::kTryAgain;
+  if (client_.gone()) return false;
+  if (end != AttemptEnd::kBroken && end != AttemptEnd::kTimedOut) return true;
+  ++may_have_run_;
+  return MayRunAgain();
 }
 
 // --- answers ---
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -28,12 +28,9 @@
   Awaitable<void> Run();
 
  private:
-  // Where an attempt left the request.
-  enum class Next { kDone, kTryAgain, kGiveUp };
   struct ReadPrompt {
     BackendPtr source;
     std::string handle;
-    std::string version;
   };
 
   Awaitable<void> RunPlain();
@@ -44,8 +41,8 @@
   Awaitable<void> PassOnWhole(Attempt& attempt);
   Awaitable<bool> PassOnStream(Attempt& attempt);
   Awaitable<void> ResumeStream();
-  // What comes after an attempt without an answer.
-  Next After(AttemptEnd end, const Backend& backend);
+  // Whether it may be sent again after an attempt without an answer; that backend is done without.
+  bool MayTryAgain(AttemptEnd end, const Backend& backend);
   bool MayRunAgain() const;
   // The first arrival of a request, and the first that only reads its prompt, are free; others draw on the
   // budget.
@@ -62,8 +59,9 @@
   Awaitable<std::optional<Target>> NextTarget();
   void AfterHandOver(AttemptEnd end, const Attempt& attempt);
 
+  // `arrivals` counts it already, and counts it no more if no byte was sent. A refusal is read to its end.
   Awaitable<AttemptEnd> Send(Attempt& attempt, const std::string& extra_fields,
-                             steady_clock::time_point until);
+                             steady_clock::time_point until, int& arrivals);
   std::string BackendHead(const Backend& backend, const std::string& extra_fields) const;
   std::string PriorityField() const;
 
@@ -71,7 +69,6 @@
   Awaitable<void> GiveUp();
   Awaitable<void> AnswerError(http::bhttp::status status, const std::string& fields);
 
-  steady_clock::time_point GiveUpAt() const { return give_up_at_; }
   bool OutOfTime() const { return steady_clock::now() >= give_up_at_; }
   ClientRequest& request() { return client_.request(); }
 
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -67,14 +67,14 @@
   if (error) return;
   const auto socket = std::make_shared<Tcp::socket>(io_);
   connecting_ = socket;
-  socket->async_connect(there, [this, socket, peer](const error_code& failed) {
+  socket->async_connect(there, [this, socket](const error_code& failed) {
     if (connecting_ != socket) return;
     connecting_ = nullptr;
-    if (!failed && !stopped_) Connected(peer, std::move(*socket));
+    if (!failed && !stopped_) Connected(std::move(*socket));
   });
 }
 
-void Subscriber::Connected(const std::string&, Tcp::socket socket) {
+void Subscriber::Connected(Tcp::socket socket) {
   mesh::SetOptions(socket);
   const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
     if (&connection != connection_.get()) return;
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -40,7 +40,7 @@
 
  private:
   void Next();
-  void Connected(const std::string& peer, http::Tcp::socket socket);
+  void Connected(http::Tcp::socket socket);
   void Take(const wire::Publication& publication);
   void Take(const wire::Referral& referral);
   std::string NextPeer();
--- a/src/discovery/list_reader.cpp
+++ b/src/discovery/list_reader.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "discovery/page.h"
+#include "http/sockets.h"
 
 namespace kestrelline::discovery {
 namespace {
@@ -21,13 +22,7 @@
 Awaitable<bool> ListReader::Connect() {
   buffer_.clear();
   stream_ = std::make_unique<beast::tcp_stream>(io_);
-  error_code error;
-  const Tcp::endpoint there(asio::ip::make_address(platform_.ip, error), platform_.port);
-  if (error) co_return false;
-  stream_->expires_after(kConnectPatience);
-  const auto [failed] = co_await stream_->async_connect(there, kTuple);
-  if (!failed) stream_->socket().set_option(Tcp::no_delay(true), error);
-  co_return !failed;
+  co_return !co_await http::Connect(*stream_, platform_, steady_clock::now() + kConnectPatience);
 }
 
 Awaitable<std::optional<std::string>> ListReader::Get(std::string target) {
--- a/src/discovery/page.cpp
+++ b/src/discovery/page.cpp
@@ -1,17 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "discovery/page.h"
 
-#include <jansson.h>
-
-#include <memory>
+#include "json/owned.h"
 
 namespace kestrelline::discovery {
 namespace {
 
-struct JsonRelease {
-  void operator()(json_t* value) const { json_decref(value); }
-};
-
 std::string Text(const json_t* object, const char* key) {
   const json_t* value = json_object_get(object, key);
   return json_is_string(value) ? std::string(json_string_value(value), json_string_length(value))
@@ -45,9 +39,8 @@
 
 }  // namespace
 
-std::optional<Page> ParsePage(std::string_view json) {
-  json_error_t error;
-  const std::unique_ptr<json_t, JsonRelease> root(json_loadb(json.data(), json.size(), 0, &error));
+std::optional<Page> ParsePage(std::string_view text) {
+  const json::Owned root = json::Load(text);
   const json_t* list = root ? json_object_get(root.get(), "instances") : nullptr;
   if (!json_is_array(list)) return std::nullopt;
   Page page;
--- a/src/discovery/page.h
+++ b/src/discovery/page.h
@@ -19,7 +19,7 @@
 };
 
 // Nothing if the text is no page; entries that lack an id, a service or an address are left out.
-std::optional<Page> ParsePage(std::string_view json);
+std::optional<Page> ParsePage(std::string_view text);
 
 }  // namespace kestrelline::discovery
 
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <utility>
 
-#include "http/api_server.h"
+#include "http/sockets.h"
 
 namespace kestrelline::fleet_standin {
 namespace {
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "http/sockets.h"
+
 namespace kestrelline::http {
 namespace {
 
@@ -19,17 +21,6 @@
   return escaped;
 }
 
-bhttp::status StatusOf(const error_code& error) {
-  if (error == bhttp::error::body_limit) return bhttp::status::payload_too_large;
-  if (error == bhttp::error::header_limit) return bhttp::status::request_header_fields_too_large;
-  return bhttp::status::bad_request;
-}
-
-bool IsMalformed(const error_code& error) {
-  return error.category() == make_error_code(bhttp::error::end_of_stream).category() &&
-         error != bhttp::error::end_of_stream && error != bhttp::error::partial_message;
-}
-
 }  // namespace
 
 ApiResponse JsonResponse(bhttp::status status, std::string body) {
@@ -43,16 +34,6 @@
   return JsonResponse(status, "{\"error\":\"" + Escaped(text) + "\"}");
 }
 
-std::error_code OpenAcceptor(Tcp::acceptor& acceptor, const node::Endpoint& endpoint) {
-  error_code error;
-  const Tcp::endpoint here(asio::ip::make_address(endpoint.ip, error), endpoint.port);
-  if (!error) acceptor.open(here.protocol(), error);
-  if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(here, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  return error;
-}
-
 ApiServer::ApiServer(asio::io_context& io, ApiHandler handler)
     : io_(io), handler_(std::move(handler)), acceptor_(io) {}
 
@@ -88,7 +69,7 @@
     parser.body_limit(kLongestBody);
     stream.expires_after(buffer.size() > 0 ? kReading : kIdle);
     const auto [read_error, read] = co_await bhttp::async_read(stream, buffer, parser, kTuple);
-    if (read_error && !IsMalformed(read_error)) break;
+    if (read_error && !IsProtocolError(read_error)) break;
     ApiResponse response;
     if (read_error) {
       response = ErrorResponse(StatusOf(read_error), read_error.message());
--- a/src/http/api_server.h
+++ b/src/http/api_server.h
@@ -41,9 +41,6 @@
   int connections_ = 0;
 };
 
-// Opens a listening socket.
-std::error_code OpenAcceptor(Tcp::acceptor& acceptor, const node::Endpoint& endpoint);
-
 }  // namespace kestrelline::http
 
 #endif  // KESTRELLINE_HTTP_API_SERVER_H_
--- /dev/null
+++ b/src/json/owned.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// JSON values of jansson that are freed by themselves. No I/O.
+#ifndef KESTRELLINE_JSON_OWNED_H_
+#define KESTRELLINE_JSON_OWNED_H_
+
+#include <jansson.h>
+
+#include <memory>
+#include <string_view>
+
+namespace kestrelline::json {
+
+struct Release {
+  void operator()(json_t* value) const { json_decref(value); }
+};
+using Owned = std::unique_ptr<json_t, Release>;
+
+// Null if `text` is no JSON; `error` then says why. `flags` are jansson's.
+inline Owned Load(std::string_view text, json_error_t& error, std::size_t flags = 0) {
+  return Owned(json_loadb(text.data(), text.size(), flags, &error));
+}
+inline Owned Load(std::string_view text) {
+  json_error_t ignored;
+  return Load(text, ignored);
+}
+
+}  // namespace kestrelline::json
+
+#endif  // KESTRELLINE_JSON_OWNED_H_
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "http/sockets.h"
 #include "wire/codec.h"
 
 namespace kestrelline::mesh {
@@ -22,13 +23,7 @@
 std::error_code Mesh::Listen(OnMessage on_message, OnClosed on_closed) {
   on_message_ = std::move(on_message);
   on_closed_ = std::move(on_closed);
-  boost::system::error_code error;
-  const Tcp::endpoint here(boost::asio::ip::make_address(self_, error), port_);
-  if (!error) acceptor_.open(here.protocol(), error);
-  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(here, error);
-  if (!error) acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  if (error) return error;
+  if (const std::error_code error = http::OpenAcceptor(acceptor_, {self_, port_})) return error;
   Accept();
   return {};
 }
@@ -56,14 +51,14 @@
   return std::make_shared<const std::string>(wire::EncodeFrame({self_, body}));
 }
 
-void Mesh::Send(const std::string& name, const wire::Body& body) {
+void Mesh::Send(const std::string& name, Frame frame) {
   if (!peers_.contains(name) && peers_.size() >= kMostPeers) return;
   Peer& peer = peers_[name];
-  if (peer.connection && peer.connection->open()) return peer.connection->Send(Encode(body));
+  if (peer.connection && peer.connection->open()) return peer.connection->Send(std::move(frame));
   peer.connection = nullptr;
   if (!peer.connecting && steady_clock::now() < peer.next_attempt) return;
   if (peer.waiting.size() >= kMostWaiting) peer.waiting.pop_front();
-  peer.waiting.push_back(Encode(body));
+  peer.waiting.push_back(std::move(frame));
   if (!peer.connecting) Connect(name, peer);
 }
 
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -34,7 +34,7 @@
 
   std::error_code Listen(OnMessage on_message, OnClosed on_closed);
   // To the peer by its IP address.
-  void Send(const std::string& peer, const wire::Body& body);
+  void Send(const std::string& peer, Frame frame);
   Frame Encode(const wire::Body& body) const;
   // Ends all connections and the listener.
   void Close();
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -130,6 +130,17 @@
     milliseconds between{2};
     int most_subscribers = 24;
   };
+  static Options Plain(int backends) {
+    Options options;
+    options.plain = backends;
+    return options;
+  }
+  static Options Split(int prefill, int decode) {
+    Options options;
+    options.prefill = prefill;
+    options.decode = decode;
+    return options;
+  }
 
   explicit Fleet(Options options) : options_(options), work_(boost::asio::make_work_guard(io_)) {
     network_ =
--- a/tests/router_fleet/processes_test.cpp
+++ b/tests/router_fleet/processes_test.cpp
@@ -82,9 +82,7 @@
 }
 
 TEST(FleetProcesses, ABackendThatDrainsGetsNothingNew) {
-  Fleet::Options options;
-  options.plain = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Plain(2));
   ASSERT_TRUE(fleet.Begin());
   fleet.SetDraining("a0");
   int request = 0;
@@ -99,9 +97,7 @@
 }
 
 TEST(FleetProcesses, AProxyThatIsStoppedFinishesWhatItHasRead) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 1;
+  Fleet::Options options = Fleet::Split(1, 1);
   options.events = 200;
   options.between = milliseconds(5);
   Fleet fleet(options);
@@ -161,10 +157,7 @@
 }
 
 TEST(FleetProcesses, TheLeaderMovesStagesByFencedOrders) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 5;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(1, 5));
   ASSERT_TRUE(fleet.Begin());
   std::string order;
   ASSERT_TRUE(Eventually([&] {
--- a/tests/router_fleet/requests_test.cpp
+++ b/tests/router_fleet/requests_test.cpp
@@ -42,9 +42,7 @@
 }
 
 TEST(FleetRequests, ARefusalIsTriedElsewhereAndAnswered503WhereAllRefuse) {
-  Fleet::Options options;
-  options.plain = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Plain(2));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kRefuse, Fault::kRefuse});
   const Answer refused = fleet.Send(0, "/app/x", "r1");
@@ -61,9 +59,7 @@
 }
 
 TEST(FleetRequests, AnUnsafeRequestThatMayHaveRunIsNeitherSentAgainNorPromised) {
-  Fleet::Options options;
-  options.plain = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Plain(2));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kCloseUnanswered});
   const Answer answer = fleet.Send(0, "/app/x", "r1");
@@ -72,9 +68,7 @@
 }
 
 TEST(FleetRequests, ASafeOneIsSentAgainButNotMoreOftenThanAllowed) {
-  Fleet::Options options;
-  options.plain = 3;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Plain(3));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"a0", "a1", "a2"}) fleet.backend(id).Expect({Fault::kCloseUnanswered});
   const Answer answer = fleet.Send(0, "/safe/x", "r1");
@@ -104,10 +98,7 @@
 }
 
 TEST(FleetRequests, APromptIsReadAtOneBackendAndGeneratedAtAnother) {
-  Fleet::Options options;
-  options.prefill = 2;
-  options.decode = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(2, 2));
   ASSERT_TRUE(fleet.Begin());
   const Answer answer = fleet.Generate(0, "r1");
   EXPECT_EQ(answer.status, 200);
@@ -127,10 +118,7 @@
 }
 
 TEST(FleetRequests, ARequestThatTellsNoPromptIsNotReadApart) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(1, 2));
   ASSERT_TRUE(fleet.Begin());
   const Answer answer = fleet.Send(0, "/llm/x", "r1");
   EXPECT_EQ(answer.status, 200);
@@ -141,10 +129,7 @@
 }
 
 TEST(FleetRequests, ARefusedHandOverGoesOnElsewhereAndRunsOnce) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(1, 2));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"d0", "d1"}) fleet.backend(id).Expect({Fault::kRefuse});
   const Answer answer = fleet.Generate(0, "r1");
@@ -157,10 +142,7 @@
 }
 
 TEST(FleetRequests, AStreamThatMayNotBeResumedEndsBadlyAndRunsOnce) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(1, 2));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"d0", "d1"}) fleet.backend(id).Expect({Fault::kBreakStream});
   const Answer answer = fleet.Generate(0, "r1");
@@ -172,10 +154,7 @@
 }
 
 TEST(FleetRequests, AStreamThatMayBeResumedGoesOnAtAnotherWithinOneAnswer) {
-  Fleet::Options options;
-  options.prefill = 1;
-  options.decode = 3;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Split(1, 3));
   ASSERT_TRUE(fleet.Begin(true));
   // Whoever is first breaks off; whoever is next goes on.
   for (const char* id : {"d0", "d1", "d2"}) fleet.backend(id).Expect({Fault::kBreakStream, Fault::kNone});
@@ -226,9 +205,7 @@
 }
 
 TEST(FleetRequests, AnotherInstanceAtTheAddressIsNotAskedAgain) {
-  Fleet::Options options;
-  options.plain = 2;
-  Fleet fleet(options);
+  Fleet fleet(Fleet::Plain(2));
   ASSERT_TRUE(fleet.Begin());
   for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kMisdirect});
   const Answer first = fleet.Send(0, "/app/x", "r1");
