--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -23,7 +23,8 @@
 constexpr milliseconds kLeadPoll{100};
 constexpr milliseconds kPlanEvery{400};
 constexpr milliseconds kOrderMargin{600};
-constexpr int kEpochShift = 32;  // a list's revision: the leader's epoch, then a count
+constexpr milliseconds kLastWords{150};  // for what was sent last to leave
+constexpr int kEpochShift = 32;          // a list's revision: the leader's epoch, then a count
 
 Time Now() { return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch()); }
 
@@ -51,7 +52,8 @@
       reader_(io, settings.cloud.value_or(node::Endpoint{})),
       api_(io, *this, settings.control ? settings.control->port : 0),
       server_(io, [this](ApiRequest request) { return api_.Handle(std::move(request)); }),
-      tick_(io) {
+      tick_(io),
+      last_words_(io) {
   store_ = std::make_unique<StoreThread>(std::move(store), [this](std::uint64_t ticket, bool written) {
     asio::post(io_, [this, ticket, written] {
       replica_.Persisted(Now(), ticket, written);
@@ -76,11 +78,27 @@
   return {};
 }
 
-void ControlNode::Stop() {
+void ControlNode::Leave(std::function<void()> done) {
+  if (left_ || stopping_) return;
+  left_ = std::move(done);
+  spdlog::info("leaving");
+  replica_.Leave(Now());
+  Pump();
+  TickLeave();
+}
+
+void ControlNode::RequestLeave() {
+  if (on_leave_requested_) on_leave_requested_();
+}
+
+void ControlNode::TickLeave() {
+  if (!left_ || !replica_.MayStop(Now())) return;
   stopping_ = true;
   replica_.Resign(Now());
   Pump();
   server_.Close();
+  last_words_.expires_after(kLastWords);
+  last_words_.async_wait([done = std::exchange(left_, nullptr)](const error_code&) { done(); });
 }
 
 bool ControlNode::Leads() const { return replica_.Leads(Now()); }
@@ -115,7 +133,11 @@
     publisher_.Subscribe(connection, message.sender, *subscribe, CurrentlyPublished());
     return;
   }
-  if (const auto* list = std::get_if<wire::InstanceList>(&message.body)) return OnInstances(*list);
+  if (const auto* probe = std::get_if<wire::Probe>(&message.body)) {
+    return publisher_.NoteProbe(connection, *probe);
+  }
+  if (const auto* list = std::get_if<wire::InstanceList>(&message.body))
+    return OnInstances(connection, *list);
   if (auto* report = std::get_if<wire::LoadReport>(&message.body)) {
     return OnLoads(message.sender, std::move(*report));
   }
@@ -123,12 +145,16 @@
   Pump();
 }
 
-void ControlNode::OnInstances(const wire::InstanceList& list) {
+// The list is as old as it says, counted from before it was composed; where that is unknown, as old as the
+// last.
+void ControlNode::OnInstances(const mesh::Connection& connection, const wire::InstanceList& list) {
   if (instances_ && list.revision < instances_->revision) return;
   if (!instances_ || list.revision > instances_->revision) {
     instances_ = std::make_shared<const wire::InstanceList>(list);
   }
-  instances_read_ = Now() - milliseconds(list.age_ms);
+  if (const auto composed_after = replica_.ProbeSentAt(connection.echo())) {
+    instances_read_ = std::max(instances_read_, *composed_after - milliseconds(list.age_ms));
+  }
   PublishIfChanged();
 }
 
@@ -226,6 +252,7 @@
     Pump();
     ShareLoads();
     MoveStages();
+    TickLeave();
     if (change_waits_) {
       if (Now() >= last_change_published_ + kBetweenPublications) PublishChange();
     } else if (Now() >= next_publication_) {
@@ -315,9 +342,18 @@
     instances_ = std::make_shared<const wire::InstanceList>(std::move(list));
   }
   PublishIfChanged();
+  SendListToMembers();
+}
+
+void ControlNode::SendListToMembers() {
   wire::InstanceList told = *instances_;
   told.age_ms = static_cast<std::uint32_t>((Now() - instances_read_).count());
-  SendToMembers(told);
+  const mesh::Frame frame = mesh_.Encode(told);
+  for (const std::string& node : replica_.KnownNodes()) {
+    if (node == settings_.ip) continue;
+    mesh_.Send(node, mesh_.Encode(wire::Echo{replica_.EchoFor(node)}));
+    mesh_.Send(node, frame);
+  }
 }
 
 }  // namespace kestrelline::control_plane
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -30,24 +30,30 @@
   ~ControlNode() override;
 
   std::error_code Start();
-  // Hands leading on and stops listening; the caller ends the loop a moment later.
-  void Stop();
+  // Called when the operator asks this member to leave.
+  void OnLeaveRequested(std::function<void()> requested) { on_leave_requested_ = std::move(requested); }
+  // Stops as a member that is missed by nobody: one that waits takes its seat first, else leading is handed
+  // on. `done` is called when the process may end.
+  void Leave(std::function<void()> done);
 
   bool Leads() const override;
   std::string OtherLeader() const override;
   wire::RecordPtr Committed() const override { return replica_.committed(); }
   std::string Status() const override;
   void Propose(Change change, std::function<void(Outcome)> decided) override;
+  void RequestLeave() override;
 
  private:
   void OnMessage(mesh::Connection& connection, wire::Message message);
-  void OnInstances(const wire::InstanceList& list);
+  void OnInstances(const mesh::Connection& connection, const wire::InstanceList& list);
   void OnLoads(const std::string& from, wire::LoadReport report);
   void ShareLoads();
   void Pump();
   void LogRole();
   void ScheduleTick();
   void SendToMembers(const wire::Body& body);
+  void SendListToMembers();
+  void TickLeave();
   void PublishIfChanged();
   void PublishChange();
   void Publish();
@@ -86,7 +92,10 @@
   Time next_publication_{0};
   Time last_change_published_{0};
   bool change_waits_ = false;  // for kBetweenPublications since then
-  Role logged_role_ = Role::kLearning;
+  Role logged_role_ = Role::kLearner;
+  http::asio::steady_timer last_words_;
+  std::function<void()> on_leave_requested_;
+  std::function<void()> left_;  // set while this member leaves
   bool stopping_ = false;
 };
 
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -43,6 +43,7 @@
       return ErrorResponse(bhttp::status::bad_request, "version is not above the current one");
     case Outcome::kNotLeader:
     case Outcome::kOverloaded:
+    case Outcome::kForgotten:
       break;
   }
   return ErrorResponse(bhttp::status::service_unavailable, "not decided here, ask again");
--- a/src/control_plane/operator_api.h
+++ b/src/control_plane/operator_api.h
@@ -25,6 +25,8 @@
   virtual std::string OtherLeader() const = 0;
   virtual wire::RecordPtr Committed() const = 0;
   virtual std::string Status() const = 0;
+  // This process is to stop, as by SIGTERM.
+  virtual void RequestLeave() = 0;
   // Calls back once the order is decided, at once or later.
   virtual void Propose(Change change, std::function<void(Outcome)> decided) = 0;
 };
--- /dev/null
+++ b/src/control_plane/orders.cpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <utility>
+
+#include "control_plane/replica_types.h"
+#include "safeguards/safeguards.h"
+
+namespace kestrelline::control_plane {
+
+std::optional<Outcome> Judge(const wire::Record& current, const Change& change) {
+  const wire::AcceptedChange same{change.version, change.digest};
+  const auto& history = current.history;
+  const bool known = std::find(history.rbegin(), history.rend(), same) != history.rend();
+  if (known && Enforced(Safeguard::kRecogniseOrders)) return Outcome::kTaken;
+  // Versions of changes that were taken rise: one below the oldest that is remembered may be a forgotten one.
+  const bool forgotten = history.size() >= kMostHistory && change.version < history.front().version;
+  if (forgotten) return Outcome::kForgotten;
+  if (change.builds_on != current.version) return Outcome::kConflict;
+  if (change.version <= current.version) return Outcome::kOldVersion;
+  return std::nullopt;
+}
+
+wire::Record Apply(const wire::Record& current, Change change) {
+  wire::Record next = current;
+  next.version = change.version;
+  next.configuration = std::move(change.configuration);
+  next.history.push_back({change.version, change.digest});
+  if (next.history.size() > kMostHistory) next.history.erase(next.history.begin());
+  return next;
+}
+
+}  // namespace kestrelline::control_plane
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -8,96 +8,31 @@
 // committed once a quorum has it on disk. Every member is also a witness: it keeps the highest epoch that it
 // promised, and an epoch begins when a quorum has promised it. A promise carries the member's record wherever
 // it is newer than the candidate's, so a member that fell behind takes the newest over before it leads.
-// docs/design/system.md says why positions of records stand in for a list of backups in step.
+// docs/design/system.md says why positions of records stand in for a list of backups in step,
+// docs/design/control-safety.md what excludes each thing that could go wrong.
 //
-// A member whose disk is empty, and that did not start the system, neither votes nor acknowledges until it
-// has learned promises and records from a quorum of the others.
+// One file a role: replica_learner.cpp, replica_follower.cpp, replica_candidate.cpp, replica_leader.cpp;
+// replica_membership.cpp changes who votes. replica.cpp holds what the roles share.
 #ifndef KESTRELLINE_CONTROL_PLANE_REPLICA_H_
 #define KESTRELLINE_CONTROL_PLANE_REPLICA_H_
 
-#include <chrono>
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "control_plane/electorate.h"
-#include "wire/messages.h"
+#include "control_plane/replica_types.h"
+#include "freshness/probe_clock.h"
 
 namespace kestrelline::control_plane {
 
-using Span = std::chrono::milliseconds;
-using Time = std::chrono::milliseconds;  // of a steady clock, since any origin
-
-struct ReplicaOptions {
-  std::string self;
-  bool bootstrap = false;  // the first start of the whole system
-  bool counts_for_quorum = true;
-  int tolerated = 1;               // members that may be lost with their disks
-  std::vector<std::string> seeds;  // the first electorate; later whom to ask
-  std::uint64_t random_seed = 1;
-
-  Span lease{1000};        // a heartbeat keeps others from standing for this long
-  Span lease_margin{100};  // the leader stops this much earlier
-  Span heartbeat{200};
-  Span election_jitter{250};  // candidates stand at random within this after a lease ended
-  Span vote_patience{400};    // for the answers of one round
-  Span resend{400};           // of a record that was not acknowledged
-  Span learn_interval{250};
-  Span hello_interval{500};
-  Span lost_after{1500};  // a member silent for this long may be exchanged for one that waits
-};
-
-// What a member has on disk.
-struct Stored {
-  std::uint64_t promised = 0;
-  wire::RecordPtr record;  // null: nothing was ever stored
-};
-
-// An order of the operator, checked for form.
-struct Change {
-  std::uint64_t version = 0;
-  std::uint64_t builds_on = 0;
-  wire::Digest digest;
-  std::string configuration;
-};
-
-enum class Outcome {
-  kTaken,       // committed, now or before
-  kConflict,    // another version is current
-  kOldVersion,  // the version is not above the current one
-  kNotLeader,   // not decided here; it may have been taken if it was already under way
-  kOverloaded,  // too many orders wait
-};
-
-struct Send {
-  std::string to;
-  wire::Body body;
-};
-// To be written and synced in this order; Persisted is called with the ticket afterwards.
-struct Persist {
-  std::uint64_t ticket = 0;
-  std::uint64_t promised = 0;
-  wire::RecordPtr record;  // null: as before
-};
-struct Decided {
-  std::uint64_t order = 0;
-  Outcome outcome = Outcome::kNotLeader;
-};
-using Effect = std::variant<Send, Persist, Decided>;
-
-enum class Role { kLearning, kFollower, kCandidate, kLeader };
-const char* NameOf(Role role);
-
 class Replica {
  public:
   static constexpr std::size_t kMostOrders = 64;      // waiting; more are refused
   static constexpr std::size_t kMostPersists = 8;     // under way at a follower; more records are dropped
-  static constexpr std::size_t kMostHistory = 2048;   // orders recognised when they are sent again
   static constexpr std::size_t kMostKnownNodes = 64;  // of the control plane
 
   Replica(ReplicaOptions options, Stored stored, Time now);
@@ -107,7 +42,11 @@
   void Persisted(Time now, std::uint64_t ticket, bool written);
   // Decided follows with the number returned.
   std::uint64_t Propose(Time now, Change change);
-  // The process is about to stop: others need not wait for the lease to end.
+
+  // The process is to stop. It goes on as a member until MayStop: a member that waits takes its seat first.
+  void Leave(Time now);
+  bool MayStop(Time now) const;
+  // The process stops at once: others need not wait for the lease to end.
   void Resign(Time now);
 
   std::vector<Effect> TakeEffects();
@@ -122,8 +61,12 @@
   std::string LiveLeader(Time now) const { return now < lease_until_ ? leader_ : std::string(); }
   // The newest record known to be committed; null if none is.
   const wire::RecordPtr& committed() const { return committed_; }
-  // When `committed` was last known to be the newest; nothing if never in this life.
+  // A time by the own clock at or after which `committed` was the newest; nothing if never in this life.
   std::optional<Time> certain_at(Time now) const;
+  // The newest probe that came from that member; 0 if none did. For what is sent to it beside heartbeats.
+  std::uint64_t EchoFor(const std::string& member) const;
+  // When this member sent the probe of that value; nothing if it is unknown.
+  std::optional<Time> ProbeSentAt(std::uint64_t value) const { return probes_.SentAt(value); }
   // Members of the control plane, for those who need to find them.
   std::vector<std::string> KnownNodes() const;
 
@@ -131,39 +74,68 @@
   std::uint32_t proxies() const { return proxies_everywhere_; }
 
  private:
+  // --- state of the roles; each is made anew when its role begins ---
+
+  struct Learner {
+    wire::RecordPtr founding;  // the first record; null where the system is to be learned
+    std::optional<Time> founding_until;
+    NodeSet not_founded;  // founders that have nothing yet either
+    struct Answer {
+      std::uint64_t promised = 0;
+      wire::RecordPtr record;
+    };
+    std::map<std::string, Answer> answers;
+    Time next_request{0};
+  };
+  struct Candidate {
+    bool pre_vote = false;
+    bool on_disk = false;       // the own promise is stored
+    bool nobody_leads = false;  // every elector said so of itself
+    Time round_until{0};
+    NodeSet votes;
+    NodeSet held_votes;    // of a pre-vote: granted once the time after the voter's restart is over
+    NodeSet not_leading;   // of a pre-vote
+    wire::RecordPtr best;  // the newest record seen in this round
+  };
   struct Peer {
     std::optional<Time> last_reply;
     std::optional<Time> acked;  // when the newest heartbeat that it answered was sent
     wire::Position stored;
-    std::optional<Time> last_hello;  // only from those without a vote
-    std::optional<Time> append_sent;
+    std::optional<std::uint64_t> disk;  // only replies from this one count; nothing: from any
+    Time disk_since{0};                 // replies to later heartbeats are from the present disk
+    std::optional<Time> last_hello;     // only from those without a vote
+    std::optional<Time> append_sent;    // of the newest record
     wire::Position append_position;
+    std::uint64_t probe = 0;
+    bool leaving = false;
     std::uint32_t proxies = 0;
   };
   struct Order {
     std::uint64_t number = 0;
     Change change;
+    Time arrived{0};
   };
-  // What is waiting for the disk.
+  struct Leader {
+    std::map<std::string, Peer> peers;
+    wire::RecordPtr current;  // proposed; equal to committed_ when nothing is under way
+    Time since{0};
+    Time last_contact{0};  // with a quorum
+    Time last_heartbeat{0};
+    Time next_heartbeat{0};
+    std::optional<Time> learner_seen;  // a newcomer that has no copy yet
+    std::deque<Order> orders;
+    std::optional<std::uint64_t> order_in_flight;
+  };
+
+  // What is waiting for the disk, and what follows.
   struct Writing {
-    enum class Then {
-      kVote,
-      kStored,
-      kStand,
-      kOwnCopy,
-      kTaught,
-      kLearned,
-      kBootstrapped
-    } then = Then::kOwnCopy;
+    enum class Then { kVote, kStored, kStand, kOwnCopy, kAnswerLearner, kLearned, kFounded };
+    Then then = Then::kOwnCopy;
     wire::RecordPtr record;
     std::string to;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0;  // or a learner's nonce
     wire::Position candidate_held;
   };
-  struct Lesson {
-    std::uint64_t promised = 0;
-    wire::RecordPtr record;
-  };
 
   void On(Time now, const std::string& from, const wire::Hello& hello);
   void On(Time now, const std::string& from, const wire::VoteRequest& request);
@@ -176,89 +148,105 @@
   template <typename Other>
   void On(Time, const std::string&, const Other&) {}  // of other layers
 
+  // --- shared ---
+
   void Emit(Effect effect) { effects_.push_back(std::move(effect)); }
   void SendTo(const std::string& to, wire::Body body) { Emit(Send{to, std::move(body)}); }
   void Write(Writing writing);
   void Know(const std::string& node);
-  // Tells a leader what is stored here; `sent_ms` of the heartbeat that is answered, or 0.
-  void Reply(const std::string& to, std::uint64_t epoch, std::uint64_t sent_ms);
   wire::Position StoredPosition() const { return record_ ? record_->position : wire::Position{}; }
+  bool IsElector() const { return record_ && Electors(*record_).contains(options_.self); }
+  void RollElection(Time now);
 
-  void TickLearning(Time now);
-  void TickFollower(Time now);
-  void TickCandidate(Time now);
-  void TickLeader(Time now);
+  // --- learner ---
 
-  bool MayGrant(Time now, const std::string& candidate, std::uint64_t epoch) const;
-  bool NobodyLeads() const;
+  void TickLearner(Time now);
+  void TickFounder(Time now);
+  bool MayFound(Time now) const;
+  void AnswerLearner(const std::string& to, std::uint64_t nonce);
+  void TakeLearned();
+
+  // --- follower ---
+
+  void TickFollower(Time now);
   void Follow(Time now, const std::string& leader, std::uint64_t epoch);
-  void RollElection(Time now);
-  void StandTrial(Time now);
+  // Tells a leader what is stored here; `sent_ms` of the heartbeat that is answered, or 0.
+  void Reply(Time now, const std::string& to, std::uint64_t epoch, std::uint64_t sent_ms);
+  bool MayGrant(Time now, const std::string& candidate, std::uint64_t epoch) const;
+  void GrantVote(Time now, const std::string& to, const wire::VoteRequest& request);
+
+  // --- candidate ---
+
+  void TickCandidate(Time now);
+  void BeginPreVote(Time now);
   void StandForEpoch(Time now);
   void AskForVotes();
   void CountVotes(Time now);
-  void Lead(Time now);
+  bool NobodyLeads() const;
   void StepDown(Time now);
-  void FailOrders();
 
+  // --- leader ---
+
+  void TickLeader(Time now);
+  void Lead(Time now);
+  // Electors that answered a heartbeat sent after `since`.
+  bool HasContactSince(Time since) const;
   void SendHeartbeats(Time now, bool resigning);
   void SendRecord(Time now, const std::string& to, Peer& peer);
-  NodeSet Audience() const;  // who gets records and heartbeats
+  void BringUpToDate(Time now, const std::string& to, Peer& peer, const wire::HeartbeatReply& reply);
+  NodeSet Audience(Time now) const;  // who gets records and heartbeats
   void Replicate(Time now, wire::Record record);
   void TryCommit(Time now);
   void NextWork(Time now);
-  bool ExchangeMembers(Time now);
-  // What becomes of a change right away; nothing if it is to be replicated.
-  std::optional<Outcome> Judge(const Change& change) const;
+  bool DecideFront(Time now);
+  void FailOrders();
+
+  // --- membership ---
+
+  // Ends a joint electorate that is committed on both sides, or begins one. True if the record changed.
+  bool ChangeMembership(Time now);
+  std::vector<std::string> Successors(Time now) const;
+  bool SuccessorInSight(Time now) const;
+  bool IsLeaving(const std::string& member) const;
+  bool IsLost(Time now, const std::string& member) const;
+  bool CopiesAreElsewhere() const;
 
   ReplicaOptions options_;
   std::mt19937_64 random_;
   std::vector<Effect> effects_;
 
-  Role role_ = Role::kLearning;
+  Role role_ = Role::kLearner;
   bool voter_ = false;  // has what it needs to promise and to acknowledge
+  std::optional<Time> leaving_since_;
   bool stopping_ = false;
   std::uint64_t promised_ = 0;       // may run ahead of the disk
+  std::uint64_t disk_ = 0;           // identity of the disk's contents
   wire::RecordPtr record_;           // on disk
   wire::Position pending_position_;  // of the newest record handed to the disk
   std::uint64_t highest_seen_ = 0;   // epoch
   std::map<std::uint64_t, Writing> writings_;
   std::uint64_t next_ticket_ = 1;
+  std::uint64_t epoch_ = 0;  // that this member stands for or leads, or follows
+  std::uint64_t nonce_ = 0;  // of this life
+  NodeSet known_;
+  std::map<std::string, std::uint64_t> answered_learners_;  // the nonce of each that learned from here
 
+  // --- as a follower, whatever the role ---
   std::string leader_;
   std::string lease_holder_;
   Time lease_until_{0};
-  Time silent_until_{0};  // what was granted before a restart is forgotten, and may hold until then
+  Time quiet_until_{0};  // what was granted before a restart is forgotten, and may hold until then
   Time election_at_{0};
+  Time next_hello_{0};
+  freshness::ProbeClock probes_;
   std::optional<Time> heard_certain_;
+  bool successor_waits_ = true;  // as the leader told since this member began to leave
   wire::RecordPtr committed_;
-  NodeSet known_;
 
-  std::uint64_t epoch_ = 0;  // that this member stands for or leads, or follows
-  bool trial_ = false;
-  bool standing_on_disk_ = false;
-  bool waive_silence_ = false;
-  Time round_until_{0};
-  NodeSet votes_;
-  NodeSet silent_votes_;  // in a trial: would be granted once the voter's silence is over
-  NodeSet not_leading_;   // in a trial
-  wire::RecordPtr best_;  // the newest record seen in this round
-
-  std::map<std::string, Peer> peers_;
-  wire::RecordPtr current_;  // proposed; equal to committed_ when nothing is under way
-  Time led_since_{0};
-  Time next_heartbeat_{0};
-  std::deque<Order> orders_;
-  std::optional<std::uint64_t> order_in_flight_;
+  Learner learner_;
+  Candidate candidate_;
+  Leader lead_;
   std::uint64_t next_order_ = 1;
-
-  wire::RecordPtr founding_;  // the first record, until it is on disk
-  std::uint64_t nonce_ = 0;
-  std::map<std::string, Lesson> lessons_;
-  std::map<std::string, std::uint64_t> taught_;  // the nonce of each that this member has answered
-  Time next_learn_{0};
-  Time next_hello_{0};
-
   std::uint32_t proxies_here_ = 0;
   std::uint32_t proxies_everywhere_ = 0;
 };
--- a/src/control_plane/replica_leader.cpp
+++ b/src/control_plane/replica_leader.cpp
@@ -1,135 +1,50 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Elections and leading.
+// Leading: copies, commits, the operator's orders.
 #include <algorithm>
 #include <utility>
 
 #include "control_plane/replica.h"
+#include "safeguards/safeguards.h"
 
 namespace kestrelline::control_plane {
 
-// --- standing ---
-
-void Replica::StandTrial(Time now) {
-  role_ = Role::kCandidate;
-  trial_ = true;
-  standing_on_disk_ = false;
-  epoch_ = std::max(promised_, highest_seen_) + 1;
-  round_until_ = now + options_.vote_patience;
-  best_ = record_;
-  waive_silence_ = false;
-  votes_.clear();
-  silent_votes_.clear();
-  (now < silent_until_ ? silent_votes_ : votes_).insert(options_.self);
-  not_leading_ = {options_.self};
-  AskForVotes();
-  CountVotes(now);
-}
-
-// No elector leads, and each said so itself. Whoever led before a restart has forgotten it, so no lease can
-// hold that a voter forgot.
-bool Replica::NobodyLeads() const {
-  const NodeSet electors = Electors(*best_);
-  return std::includes(not_leading_.begin(), not_leading_.end(), electors.begin(), electors.end());
-}
-
-void Replica::StandForEpoch(Time now) {
-  role_ = Role::kCandidate;
-  trial_ = false;
-  standing_on_disk_ = false;
-  epoch_ = std::max(promised_, highest_seen_) + 1;
-  promised_ = epoch_;
-  highest_seen_ = epoch_;
-  round_until_ = now + 2 * options_.vote_patience;
-  if (!best_ || (record_ && record_->position > best_->position)) best_ = record_;
-  votes_.clear();
-  Writing writing;
-  writing.then = Writing::Then::kStand;
-  writing.epoch = epoch_;
-  Write(std::move(writing));
-}
-
-void Replica::AskForVotes() {
-  const wire::VoteRequest request{epoch_, trial_, best_ ? best_->position : wire::Position{}, waive_silence_};
-  for (const std::string& elector : Electors(*best_)) {
-    if (elector != options_.self && !votes_.contains(elector)) SendTo(elector, request);
-  }
-}
-
-void Replica::On(Time now, const std::string& from, const wire::VoteReply& reply) {
-  highest_seen_ = std::max(highest_seen_, reply.promised);
-  if (role_ != Role::kCandidate || reply.epoch != epoch_ || reply.trial != trial_) return;
-  if (trial_ && !reply.leading) not_leading_.insert(from);
-  if (!reply.granted) {
-    if (!trial_ && reply.promised > epoch_) return StepDown(now);
-    return CountVotes(now);
-  }
-  (trial_ && reply.silent ? silent_votes_ : votes_).insert(from);
-  if (reply.record && reply.record->position > best_->position) {
-    const NodeSet before = Electors(*best_);
-    best_ = reply.record;
-    if (Electors(*best_) != before) AskForVotes();
-  }
-  CountVotes(now);
-}
-
-void Replica::CountVotes(Time now) {
-  if (trial_ && NobodyLeads()) {
-    waive_silence_ = true;
-    votes_.insert(silent_votes_.begin(), silent_votes_.end());
-  }
-  if (!IsQuorum(*best_, votes_, options_.tolerated)) return;
-  if (trial_) return StandForEpoch(now);
-  if (standing_on_disk_ && Electors(*best_).contains(options_.self)) Lead(now);
-}
-
-void Replica::TickCandidate(Time now) {
-  if (now < round_until_) return;
-  if (!trial_ && !standing_on_disk_) {  // the disk is slow: the round begins when it is done
-    round_until_ = now + options_.vote_patience;
-    return;
-  }
-  StepDown(now);
-}
-
-void Replica::StepDown(Time now) {
-  if (role_ == Role::kLeader) FailOrders();
-  role_ = Role::kFollower;
-  if (leader_ == options_.self) leader_.clear();
-  RollElection(now);
-}
-
-// --- leading ---
-
 void Replica::Lead(Time now) {
+  wire::Record first = *candidate_.best;
+  candidate_ = {};
   role_ = Role::kLeader;
   leader_ = options_.self;
-  led_since_ = now;
-  peers_.clear();
-  wire::Record first = *best_;
-  best_ = nullptr;
-  current_ = nullptr;
-  next_heartbeat_ = now;
+  lead_ = {};
+  lead_.since = now;
+  lead_.last_contact = now;
+  lead_.next_heartbeat = now;
   Replicate(now, std::move(first));
   SendHeartbeats(now, false);
 }
 
 void Replica::Replicate(Time now, wire::Record record) {
-  const std::uint64_t before = current_ ? current_->position.sequence : record.position.sequence;
+  const std::uint64_t before = lead_.current ? lead_.current->position.sequence : record.position.sequence;
   record.position = {epoch_, before + 1};
-  current_ = std::make_shared<const wire::Record>(std::move(record));
-  for (const std::string& elector : Electors(*current_)) Know(elector);
+  lead_.current = std::make_shared<const wire::Record>(std::move(record));
+  for (const std::string& elector : Electors(*lead_.current)) Know(elector);
   Writing writing;
   writing.then = Writing::Then::kOwnCopy;
-  writing.record = current_;
+  writing.record = lead_.current;
   Write(std::move(writing));
-  for (const std::string& node : Audience()) SendRecord(now, node, peers_[node]);
+  for (const std::string& node : Audience(now)) {
+    Peer& peer = lead_.peers[node];
+    // One that is still taking an older record gets the newest next: a slow link never fills with old ones.
+    const bool behind = peer.append_sent && peer.append_position > peer.stored;
+    if (!behind || !Enforced(Safeguard::kOneRecordUnderWay)) SendRecord(now, node, peer);
+  }
 }
 
-NodeSet Replica::Audience() const {
-  NodeSet audience = Electors(*current_);
-  for (const auto& [node, peer] : peers_) {
-    if (peer.last_hello) audience.insert(node);
+NodeSet Replica::Audience(Time now) const {
+  NodeSet audience = Electors(*lead_.current);
+  for (const auto& [node, peer] : lead_.peers) {
+    const bool waits = peer.last_hello && now - *peer.last_hello < options_.lost_after;
+    const bool leaves = peer.leaving && peer.last_reply && now - *peer.last_reply < options_.lost_after;
+    if (waits || leaves) audience.insert(node);
   }
   audience.erase(options_.self);
   return audience;
@@ -137,30 +52,41 @@
 
 void Replica::SendRecord(Time now, const std::string& to, Peer& peer) {
   peer.append_sent = now;
-  peer.append_position = current_->position;
-  SendTo(to, wire::Append{epoch_, current_});
+  peer.append_position = lead_.current->position;
+  SendTo(to, wire::Append{epoch_, lead_.current});
 }
 
 void Replica::SendHeartbeats(Time now, bool resigning) {
+  lead_.last_heartbeat = now;
+  lead_.next_heartbeat = now + options_.heartbeat;
   wire::Heartbeat beat;
   beat.epoch = epoch_;
   beat.sent_ms = static_cast<std::uint64_t>(now.count());
-  beat.held = current_->position;
+  beat.held = lead_.current->position;
   beat.leased = Leads(now);
-  if (beat.leased && committed_) beat.committed = committed_->position;
+  if (beat.leased) beat.committed = committed_->position;
   beat.proxies = proxies_everywhere_;
   beat.resigning = resigning;
-  for (const std::string& node : Audience()) SendTo(node, beat);
+  beat.successor_waits = SuccessorInSight(now);
+  for (const std::string& node : Audience(now)) {
+    beat.echo = lead_.peers[node].probe;
+    SendTo(node, beat);
+  }
+}
+
+bool Replica::HasContactSince(Time since) const {
+  NodeSet in_contact = {options_.self};
+  for (const auto& [node, peer] : lead_.peers) {
+    if (peer.acked && *peer.acked > since) in_contact.insert(node);
+  }
+  return IsQuorum(*lead_.current, in_contact, options_.tolerated);
 }
 
 bool Replica::Leads(Time now) const {
-  if (role_ != Role::kLeader || !committed_ || !current_ || stopping_) return false;
+  if (role_ != Role::kLeader || !committed_ || stopping_) return false;
   if (committed_->position.epoch != epoch_) return false;
-  NodeSet supporters = {options_.self};
-  for (const auto& [node, peer] : peers_) {
-    if (peer.acked && *peer.acked + options_.lease - options_.lease_margin > now) supporters.insert(node);
-  }
-  return IsQuorum(*current_, supporters, options_.tolerated);
+  if (!Enforced(Safeguard::kLeaseBeforeServing)) return true;
+  return HasContactSince(now - options_.lease + options_.lease_margin);
 }
 
 void Replica::On(Time now, const std::string& from, const wire::HeartbeatReply& reply) {
@@ -168,126 +94,102 @@
   if (role_ != Role::kLeader) return;
   if (reply.promised > epoch_) {
     // A member promised a later epoch; it can't take this leader's records. An epoch above that one heals it.
+    if (leaving_since_) return StepDown(now);
     FailOrders();
     leader_.clear();
-    return StandTrial(now);
+    return BeginPreVote(now);
   }
   if (reply.epoch != epoch_) return;
-  Peer& peer = peers_[from];
+  if (!lead_.peers.contains(from) && lead_.peers.size() >= kMostKnownNodes) return;
+  Peer& peer = lead_.peers[from];
+  const Time answered(static_cast<std::int64_t>(reply.sent_ms));
+  // A reply that was on its way as its disk was lost speaks of a copy that is no more.
+  if (peer.disk && answered > peer.disk_since) peer.disk = reply.disk;
+  const bool of_lost_disk = peer.disk && *peer.disk != reply.disk;
+  if (of_lost_disk && Enforced(Safeguard::kDiskIdentity)) return;
   peer.last_reply = now;
   peer.proxies = reply.proxies;
-  if (reply.sent_ms > 0) {
-    const Time sent(static_cast<std::int64_t>(reply.sent_ms));
-    peer.acked = peer.acked ? std::max(*peer.acked, sent) : sent;
-  }
+  peer.probe = reply.probe;
+  peer.leaving = reply.leaving;
+  if (reply.sent_ms > 0) peer.acked = std::max(peer.acked.value_or(answered), answered);
   peer.stored = std::max(peer.stored, reply.stored);
-  if (peer.stored >= current_->position) return TryCommit(now);
-  const bool sent_this = peer.append_position == current_->position;
-  if (!sent_this || now - peer.append_sent.value_or(now - options_.resend) >= options_.resend) {
-    SendRecord(now, from, peer);
+  if (peer.stored >= lead_.current->position) {
+    TryCommit(now);
+  } else {
+    BringUpToDate(now, from, peer, reply);
+  }
+  NextWork(now);
+}
+
+// The newest record, unless one is on its way there. What answers a heartbeat that was sent after a record
+// came after it on the same connection: if the record is not even being written, it was lost.
+void Replica::BringUpToDate(Time now, const std::string& to, Peer& peer, const wire::HeartbeatReply& reply) {
+  const bool under_way = peer.append_sent && peer.append_position > peer.stored;
+  if (under_way) {
+    const bool being_written = reply.writing >= peer.append_position;
+    const bool passed_by = Time(static_cast<std::int64_t>(reply.sent_ms)) > *peer.append_sent;
+    const bool lost = passed_by && !being_written && now - *peer.append_sent >= options_.resend;
+    if (!lost) return;
   }
+  SendRecord(now, to, peer);
 }
 
 void Replica::TryCommit(Time now) {
-  if (role_ != Role::kLeader || (committed_ && committed_->position == current_->position)) return;
+  if (role_ != Role::kLeader || (committed_ && committed_->position == lead_.current->position)) return;
   NodeSet holders;
-  if (StoredPosition() >= current_->position) holders.insert(options_.self);
-  for (const auto& [node, peer] : peers_) {
-    if (peer.stored >= current_->position) holders.insert(node);
+  if (StoredPosition() >= lead_.current->position) holders.insert(options_.self);
+  for (const auto& [node, peer] : lead_.peers) {
+    if (peer.stored >= lead_.current->position) holders.insert(node);
+  }
+  const bool enough = IsQuorum(*lead_.current, holders, options_.tolerated);
+  if (!enough && Enforced(Safeguard::kQuorumOfCopies)) return;
+  committed_ = lead_.current;
+  if (lead_.order_in_flight) {
+    Emit(Decided{*std::exchange(lead_.order_in_flight, std::nullopt), Outcome::kTaken});
   }
-  if (!IsQuorum(*current_, holders, options_.tolerated)) return;
-  committed_ = current_;
-  if (order_in_flight_) Emit(Decided{*std::exchange(order_in_flight_, std::nullopt), Outcome::kTaken});
   SendHeartbeats(now, false);
-  next_heartbeat_ = now + options_.heartbeat;
   NextWork(now);
 }
 
 void Replica::TickLeader(Time now) {
   proxies_everywhere_ = proxies_here_;
-  for (const auto& [node, peer] : peers_) {
+  for (const auto& [node, peer] : lead_.peers) {
     if (peer.last_reply && now - *peer.last_reply < options_.lost_after) proxies_everywhere_ += peer.proxies;
   }
-  if (now >= next_heartbeat_) {
-    next_heartbeat_ = now + options_.heartbeat;
-    SendHeartbeats(now, false);
-  }
+  if (HasContactSince(now - options_.lease)) lead_.last_contact = now;
+  if (now - lead_.last_contact >= options_.lease) return StepDown(now);  // others may lead by now
+  if (now >= lead_.next_heartbeat) SendHeartbeats(now, false);
   NextWork(now);
 }
 
-void Replica::On(Time now, const std::string& from, const wire::Hello& hello) {
-  Know(from);
-  if (role_ != Role::kLeader || !hello.counts_for_quorum || Electors(*current_).contains(from)) return;
-  if (peers_.size() >= kMostKnownNodes) return;
-  Peer& peer = peers_[from];
-  peer.last_hello = now;
-  if (peer.stored < current_->position && !peer.append_sent) SendRecord(now, from, peer);
-}
-
 // Begins the next change of the record, where the last one is committed.
 void Replica::NextWork(Time now) {
-  while (role_ == Role::kLeader && committed_ && committed_->position == current_->position) {
-    if (ExchangeMembers(now) || orders_.empty()) return;
-    Order order = std::move(orders_.front());
-    orders_.pop_front();
-    if (const auto outcome = Judge(order.change)) {
-      Emit(Decided{order.number, *outcome});
-      continue;
-    }
-    wire::Record next = *current_;
-    next.version = order.change.version;
-    next.configuration = std::move(order.change.configuration);
-    next.history.push_back({order.change.version, order.change.digest});
-    if (next.history.size() > kMostHistory) next.history.erase(next.history.begin());
-    order_in_flight_ = order.number;
-    Replicate(now, std::move(next));
+  while (role_ == Role::kLeader && committed_ && committed_->position == lead_.current->position) {
+    if (ChangeMembership(now) || lead_.orders.empty() || !DecideFront(now)) return;
   }
 }
 
-std::optional<Outcome> Replica::Judge(const Change& change) const {
-  const wire::AcceptedChange same{change.version, change.digest};
-  const auto& history = current_->history;
-  if (std::find(history.rbegin(), history.rend(), same) != history.rend()) return Outcome::kTaken;
-  if (change.builds_on != current_->version) return Outcome::kConflict;
-  if (change.version <= current_->version) return Outcome::kOldVersion;
-  return std::nullopt;
-}
-
-// Ends an exchange that is committed on both sides, or begins one. True if the record changed.
-bool Replica::ExchangeMembers(Time now) {
-  if (!current_->next_members.empty()) {
-    wire::Record settled = *current_;
-    settled.members = std::exchange(settled.next_members, {});
-    Replicate(now, std::move(settled));
+// False if the front order has to wait, for its copies or for contact.
+bool Replica::DecideFront(Time now) {
+  Order& front = lead_.orders.front();
+  const auto outcome = Judge(*lead_.current, front.change);
+  if (!outcome) {
+    lead_.order_in_flight = front.number;
+    wire::Record next = Apply(*lead_.current, std::move(front.change));
+    lead_.orders.pop_front();
+    Replicate(now, std::move(next));
     return true;
   }
-  std::vector<std::string> waiting;
-  for (const auto& [node, peer] : peers_) {
-    const bool present =
-        peer.last_hello && peer.last_reply && now - *peer.last_reply < options_.lost_after / 2;
-    if (present && peer.stored >= current_->position) waiting.push_back(node);
+  // What was taken stays taken. Any other verdict goes by the newest state: a quorum has to confirm, after
+  // the order came, that there is no later epoch.
+  const bool refused = *outcome == Outcome::kConflict || *outcome == Outcome::kOldVersion;
+  const bool proven = HasContactSince(front.arrived) || !Enforced(Safeguard::kContactBeforeRefusal);
+  if (refused && !proven) {
+    if (lead_.last_heartbeat <= front.arrived && now > front.arrived) SendHeartbeats(now, false);
+    return false;
   }
-  std::erase_if(waiting, [this](const std::string& node) { return Electors(*current_).contains(node); });
-  if (waiting.empty()) return false;
-  std::vector<std::string> next = current_->members;
-  const std::size_t target = TargetSize(options_.tolerated);
-  for (const std::string& node : waiting) {
-    if (next.size() < target) next.push_back(node);
-  }
-  if (next.size() == current_->members.size()) {
-    const auto lost = std::find_if(next.begin(), next.end(), [&](const std::string& member) {
-      if (member == options_.self) return false;
-      const auto peer = peers_.find(member);
-      const bool heard = peer != peers_.end() && peer->second.last_reply;
-      return now - (heard ? *peer->second.last_reply : led_since_) >= options_.lost_after;
-    });
-    if (lost == next.end()) return false;
-    *lost = waiting.front();
-  }
-  std::sort(next.begin(), next.end());
-  wire::Record joint = *current_;
-  joint.next_members = std::move(next);
-  Replicate(now, std::move(joint));
+  Emit(Decided{front.number, *outcome});
+  lead_.orders.pop_front();
   return true;
 }
 
@@ -295,28 +197,21 @@
   const std::uint64_t number = next_order_++;
   if (!Leads(now)) {
     Emit(Decided{number, Outcome::kNotLeader});
-  } else if (orders_.size() >= kMostOrders) {
+  } else if (lead_.orders.size() >= kMostOrders) {
     Emit(Decided{number, Outcome::kOverloaded});
   } else {
-    orders_.push_back({number, std::move(change)});
+    lead_.orders.push_back({number, std::move(change), now});
     NextWork(now);
   }
   return number;
 }
 
 void Replica::FailOrders() {
-  if (order_in_flight_) Emit(Decided{*std::exchange(order_in_flight_, std::nullopt), Outcome::kNotLeader});
-  for (const Order& order : orders_) Emit(Decided{order.number, Outcome::kNotLeader});
-  orders_.clear();
-}
-
-void Replica::Resign(Time now) {
-  stopping_ = true;
-  if (role_ != Role::kLeader) return;
-  FailOrders();
-  SendHeartbeats(now, true);
-  role_ = Role::kFollower;
-  leader_.clear();
+  if (lead_.order_in_flight) {
+    Emit(Decided{*std::exchange(lead_.order_in_flight, std::nullopt), Outcome::kNotLeader});
+  }
+  for (const Order& order : lead_.orders) Emit(Decided{order.number, Outcome::kNotLeader});
+  lead_.orders.clear();
 }
 
 }  // namespace kestrelline::control_plane
--- /dev/null
+++ b/src/control_plane/replica_membership.cpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Who votes changes by agreement alone (joint consensus): members that wait with a copy fill an electorate
+// that is too small, and take the seats of those that leave or are lost. And how a member stops.
+#include <algorithm>
+#include <utility>
+
+#include "control_plane/replica.h"
+#include "safeguards/safeguards.h"
+
+namespace kestrelline::control_plane {
+
+void Replica::On(Time now, const std::string& from, const wire::Hello& hello) {
+  Know(from);
+  if (role_ != Role::kLeader || !hello.counts_for_quorum) return;
+  if (Electors(*lead_.current).contains(from)) return;
+  if (!lead_.peers.contains(from) && lead_.peers.size() >= kMostKnownNodes) return;
+  Peer& peer = lead_.peers[from];
+  peer.last_hello = now;
+  if (peer.stored < lead_.current->position && !peer.append_sent) SendRecord(now, from, peer);
+}
+
+// Members without a vote that are present and hold the newest record.
+std::vector<std::string> Replica::Successors(Time now) const {
+  std::vector<std::string> successors;
+  const NodeSet electors = Electors(*lead_.current);
+  for (const auto& [node, peer] : lead_.peers) {
+    const bool present = peer.last_hello && !peer.leaving && peer.last_reply &&
+                         now - *peer.last_reply < options_.lost_after / 2;
+    const bool ready = present && peer.stored >= lead_.current->position;
+    if (ready && !electors.contains(node)) successors.push_back(node);
+  }
+  return successors;
+}
+
+// One that holds the newest record, or that is on the way to it. A leader that has just begun may not have
+// heard of those that wait.
+bool Replica::SuccessorInSight(Time now) const {
+  if (now - lead_.since < 4 * options_.hello_interval) return true;
+  if (!lead_.current->next_members.empty()) return true;  // on its way to a seat
+  if (lead_.learner_seen && now - *lead_.learner_seen < options_.lost_after) return true;
+  const NodeSet electors = Electors(*lead_.current);
+  return std::any_of(lead_.peers.begin(), lead_.peers.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    const bool present = peer.last_hello && now - *peer.last_hello < options_.lost_after;
+    return present && !peer.leaving && !electors.contains(entry.first);
+  });
+}
+
+bool Replica::IsLeaving(const std::string& member) const {
+  if (member == options_.self) return leaving_since_.has_value();
+  const auto peer = lead_.peers.find(member);
+  return peer != lead_.peers.end() && peer->second.leaving;
+}
+
+bool Replica::IsLost(Time now, const std::string& member) const {
+  if (member == options_.self) return false;
+  const auto peer = lead_.peers.find(member);
+  const bool heard = peer != lead_.peers.end() && peer->second.last_reply;
+  return now - (heard ? *peer->second.last_reply : lead_.since) >= options_.lost_after;
+}
+
+bool Replica::ChangeMembership(Time now) {
+  if (!lead_.current->next_members.empty()) {
+    wire::Record settled = *lead_.current;
+    settled.members = std::exchange(settled.next_members, {});
+    Replicate(now, std::move(settled));
+    return true;
+  }
+  const std::vector<std::string> successors = Successors(now);
+  if (successors.empty()) return false;
+  std::vector<std::string> next = lead_.current->members;
+  auto replaced =
+      std::find_if(next.begin(), next.end(), [this](const std::string& member) { return IsLeaving(member); });
+  const std::size_t target = TargetSize(options_.tolerated);
+  if (replaced == next.end() && next.size() < target) {
+    const std::size_t room = std::min(target - next.size(), successors.size());
+    next.insert(next.end(), successors.begin(), successors.begin() + static_cast<std::ptrdiff_t>(room));
+  } else {
+    if (replaced == next.end()) {
+      replaced = std::find_if(next.begin(), next.end(),
+                              [&](const std::string& member) { return IsLost(now, member); });
+    }
+    if (replaced == next.end()) return false;
+    *replaced = successors.front();
+  }
+  std::sort(next.begin(), next.end());
+  wire::Record joint = *lead_.current;
+  if (Enforced(Safeguard::kJointElectorate)) {
+    joint.next_members = std::move(next);
+  } else {
+    joint.members = std::move(next);
+  }
+  Replicate(now, std::move(joint));
+  return true;
+}
+
+// Whether every other elector holds the newest record.
+bool Replica::CopiesAreElsewhere() const {
+  const auto holds = [this](const std::string& node) {
+    const auto peer = lead_.peers.find(node);
+    return peer != lead_.peers.end() && peer->second.stored >= lead_.current->position;
+  };
+  const NodeSet electors = Electors(*lead_.current);
+  return std::all_of(electors.begin(), electors.end(),
+                     [&](const std::string& node) { return node == options_.self || holds(node); });
+}
+
+void Replica::Leave(Time now) {
+  if (leaving_since_) return;
+  leaving_since_ = now;
+  successor_waits_ = true;  // until the leader says otherwise
+  if (role_ == Role::kCandidate) StepDown(now);
+  if (role_ == Role::kLeader) return NextWork(now);
+  const std::string leader = LiveLeader(now);
+  if (voter_ && !leader.empty()) Reply(now, leader, epoch_, 0);
+}
+
+bool Replica::MayStop(Time now) const {
+  if (!Enforced(Safeguard::kLeaveByAgreement)) return true;
+  if (!leaving_since_) return true;
+  // A record without this member frees it only once it is committed: before that the others' disks may hold
+  // no more than the electorate that needs it.
+  const bool has_seat = committed_ ? Electors(*committed_).contains(options_.self) : IsElector();
+  if (!has_seat) return true;
+  const Span since = now - *leaving_since_;
+  if (since >= options_.leave_patience) return true;
+  if (since < options_.leave_least) return false;
+  if (role_ != Role::kLeader) {
+    const bool leaderless = LiveLeader(now).empty();
+    return leaderless ? since >= options_.leaderless_patience : !successor_waits_;
+  }
+  if (SuccessorInSight(now)) return false;
+  const bool settled = committed_ && committed_->position == lead_.current->position;
+  return settled && (CopiesAreElsewhere() || since >= options_.resign_patience);
+}
+
+void Replica::Resign(Time now) {
+  if (!leaving_since_) leaving_since_ = now;
+  stopping_ = true;
+  if (role_ != Role::kLeader) return;
+  FailOrders();
+  SendHeartbeats(now, true);
+  role_ = Role::kFollower;
+  leader_.clear();
+}
+
+}  // namespace kestrelline::control_plane
--- /dev/null
+++ b/src/control_plane/replica_types.h
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What goes into a replica and comes out of it: options, what is on disk, orders, effects.
+#ifndef KESTRELLINE_CONTROL_PLANE_REPLICA_TYPES_H_
+#define KESTRELLINE_CONTROL_PLANE_REPLICA_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "wire/messages.h"
+
+namespace kestrelline::control_plane {
+
+using Span = std::chrono::milliseconds;
+using Time = std::chrono::milliseconds;  // of a steady clock, since any origin
+
+struct ReplicaOptions {
+  std::string self;
+  bool bootstrap = false;  // the first start of the whole system
+  bool counts_for_quorum = true;
+  int tolerated = 1;               // members that may be lost with their disks
+  std::vector<std::string> seeds;  // the first electorate; later whom to ask
+  std::uint64_t random_seed = 1;
+
+  Span lease{1000};        // a heartbeat keeps others from standing for this long
+  Span lease_margin{100};  // the leader stops this much earlier
+  Span heartbeat{200};
+  Span election_jitter{250};  // candidates stand at random within this after a lease ended
+  Span vote_patience{400};    // for the answers of one round
+  Span resend{400};           // of a record that was lost on its way
+  Span learn_interval{250};
+  Span founding_interval{50};  // between questions whether the system was founded already
+  Span founding_wait{1000};    // for the other founders' answers
+  Span hello_interval{300};
+  Span lost_after{1500};           // a member silent for this long may be replaced by one that waits
+  Span leave_patience{5000};       // for a successor, of a member that is to stop
+  Span leave_least{400};           // for the news of a successor that has just started
+  Span leaderless_patience{2500};  // for a leader, of a member that is to stop
+  Span resign_patience{800};       // for the other copies, of a leader that is to stop
+};
+
+// What a member has on disk.
+struct Stored {
+  std::uint64_t promised = 0;
+  std::uint64_t disk = 0;     // identity of this disk's contents; 0 on those of founders
+  bool ever_written = false;  // something was stored there once, readable or not
+  wire::RecordPtr record;     // null: none
+};
+
+// An order of the operator, checked for form.
+struct Change {
+  std::uint64_t version = 0;
+  std::uint64_t builds_on = 0;
+  wire::Digest digest;
+  std::string configuration;
+};
+
+enum class Outcome {
+  kTaken,       // committed, now or before
+  kConflict,    // another version is current
+  kOldVersion,  // the version is not above the current one
+  kNotLeader,   // not decided here; it may have been taken if it was already under way
+  kOverloaded,  // too many orders wait
+  kForgotten,   // so old that nobody knows any more whether it was taken
+};
+
+// What becomes of a change on top of `current`; kTaken also for one that was taken before. Nothing if it is
+// to be replicated.
+std::optional<Outcome> Judge(const wire::Record& current, const Change& change);
+// The record with that change on top.
+wire::Record Apply(const wire::Record& current, Change change);
+
+inline constexpr std::size_t kMostHistory = 2048;  // orders recognised when they are sent again
+
+struct Send {
+  std::string to;
+  wire::Body body;
+};
+// To be written and synced in this order; Persisted is called with the ticket afterwards.
+struct Persist {
+  std::uint64_t ticket = 0;
+  std::uint64_t promised = 0;
+  std::uint64_t disk = 0;
+  wire::RecordPtr record;  // null: as before
+};
+struct Decided {
+  std::uint64_t order = 0;
+  Outcome outcome = Outcome::kNotLeader;
+};
+using Effect = std::variant<Send, Persist, Decided>;
+
+enum class Role { kLearner, kFollower, kCandidate, kLeader };
+const char* NameOf(Role role);
+
+}  // namespace kestrelline::control_plane
+
+#endif  // KESTRELLINE_CONTROL_PLANE_REPLICA_TYPES_H_
--- a/src/control_plane/store.cpp
+++ b/src/control_plane/store.cpp
@@ -40,6 +40,8 @@
     "PRAGMA wal_autocheckpoint=256;"
     "PRAGMA journal_size_limit=4194304;"
     "CREATE TABLE IF NOT EXISTS promise(id INTEGER PRIMARY KEY CHECK(id=1), epoch INTEGER NOT NULL);"
+    "CREATE TABLE IF NOT EXISTS disk(id INTEGER PRIMARY KEY CHECK(id=1), identity INTEGER NOT NULL);"
+    "CREATE TABLE IF NOT EXISTS damage(id INTEGER PRIMARY KEY CHECK(id=1), files INTEGER NOT NULL);"
     "CREATE TABLE IF NOT EXISTS record(id INTEGER PRIMARY KEY CHECK(id=1), digest INTEGER NOT NULL, body "
     "BLOB NOT NULL);";
 
@@ -90,7 +92,8 @@
 std::unique_ptr<Store> Store::Open(const std::string& directory, std::error_code& error) {
   const std::string path = directory + kFileName;
   Opened opened = OpenFile(path);
-  if (IsDamage(opened.error)) {
+  const bool damaged = IsDamage(opened.error);
+  if (damaged) {
     for (const char* suffix : {"", "-wal", "-journal"}) std::remove((path + suffix).c_str());
     opened = OpenFile(path);
   }
@@ -99,7 +102,12 @@
     return nullptr;
   }
   error = {};
-  return std::unique_ptr<Store>(new Store(opened.database));
+  std::unique_ptr<Store> store(new Store(opened.database));
+  if (damaged && !store->SetNumber("INSERT OR REPLACE INTO damage(id, files) VALUES(1, ?)", 1)) {
+    error = StoreError::kCannotWrite;
+    return nullptr;
+  }
+  return store;
 }
 
 Store::~Store() { sqlite3_close(database_); }
@@ -108,31 +116,41 @@
   return sqlite3_exec(database_, statement, nullptr, nullptr, nullptr) == SQLITE_OK;
 }
 
+std::optional<std::int64_t> Store::Number(const char* query) {
+  const Statement statement = Prepare(database_, query);
+  if (!statement || sqlite3_step(statement.get()) != SQLITE_ROW) return std::nullopt;
+  return sqlite3_column_int64(statement.get(), 0);
+}
+
+bool Store::SetNumber(const char* statement, std::uint64_t value) {
+  const Statement prepared = Prepare(database_, statement);
+  return prepared && sqlite3_bind_int64(prepared.get(), 1, static_cast<std::int64_t>(value)) == SQLITE_OK &&
+         sqlite3_step(prepared.get()) == SQLITE_DONE;
+}
+
 Stored Store::Load() {
-  Stored stored;
-  const Statement promise = Prepare(database_, "SELECT epoch FROM promise WHERE id=1");
-  if (!promise || sqlite3_step(promise.get()) != SQLITE_ROW) return {};
-  stored.promised = static_cast<std::uint64_t>(sqlite3_column_int64(promise.get(), 0));
+  const auto promised = Number("SELECT epoch FROM promise WHERE id=1");
+  Stored nothing;
+  nothing.ever_written = promised.has_value() || Number("SELECT files FROM damage WHERE id=1").has_value();
   const Statement body = Prepare(database_, "SELECT digest, body FROM record WHERE id=1");
-  if (!body || sqlite3_step(body.get()) != SQLITE_ROW) return {};
+  if (!promised || !body || sqlite3_step(body.get()) != SQLITE_ROW) return nothing;
   const std::string_view bytes(static_cast<const char*>(sqlite3_column_blob(body.get(), 1)),
                                static_cast<std::size_t>(sqlite3_column_bytes(body.get(), 1)));
-  if (sqlite3_column_int64(body.get(), 0) != DigestOf(bytes)) return {};
+  if (sqlite3_column_int64(body.get(), 0) != DigestOf(bytes)) return nothing;
   auto record = wire::DecodeRecord(bytes);
-  if (!record) return {};
+  if (!record) return nothing;
+  Stored stored;
+  stored.ever_written = true;
+  stored.promised = static_cast<std::uint64_t>(*promised);
+  stored.disk = static_cast<std::uint64_t>(Number("SELECT identity FROM disk WHERE id=1").value_or(0));
   stored.record = std::make_shared<const wire::Record>(std::move(*record));
   return stored;
 }
 
-std::error_code Store::Write(std::uint64_t promised, const wire::Record* record) {
+std::error_code Store::Write(std::uint64_t promised, std::uint64_t disk, const wire::Record* record) {
   if (!Execute("BEGIN IMMEDIATE")) return StoreError::kCannotWrite;
-  bool good = false;
-  {
-    const Statement promise = Prepare(database_, "INSERT OR REPLACE INTO promise(id, epoch) VALUES(1, ?)");
-    good = promise &&
-           sqlite3_bind_int64(promise.get(), 1, static_cast<std::int64_t>(promised)) == SQLITE_OK &&
-           sqlite3_step(promise.get()) == SQLITE_DONE;
-  }
+  bool good = SetNumber("INSERT OR REPLACE INTO promise(id, epoch) VALUES(1, ?)", promised) &&
+              SetNumber("INSERT OR REPLACE INTO disk(id, identity) VALUES(1, ?)", disk);
   if (good && record != nullptr) {
     const std::string bytes = wire::EncodeRecord(*record);
     const Statement body =
@@ -179,7 +197,7 @@
     const Persist persist = std::move(queue_.front());
     queue_.pop_front();
     lock.unlock();
-    const bool written = store_ && !store_->Write(persist.promised, persist.record.get());
+    const bool written = store_ && !store_->Write(persist.promised, persist.disk, persist.record.get());
     done_(persist.ticket, written);
     lock.lock();
   }
--- a/src/control_plane/store.h
+++ b/src/control_plane/store.h
@@ -32,17 +32,20 @@
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
-  // Opens or makes the file. One that is damaged is put aside, as if the disk had been empty.
+  // Opens or makes the file. One that is damaged is replaced by an empty one, on which Load tells that
+  // something was stored before.
   static std::unique_ptr<Store> Open(const std::string& directory, std::error_code& error);
 
   // What was last written; nothing where its digest does not match.
   Stored Load();
-  // Both in one transaction; a null record stays as it was.
-  std::error_code Write(std::uint64_t promised, const wire::Record* record);
+  // All in one transaction; a null record stays as it was.
+  std::error_code Write(std::uint64_t promised, std::uint64_t disk, const wire::Record* record);
 
  private:
   explicit Store(sqlite3* database) : database_(database) {}
   bool Execute(const char* statement);
+  std::optional<std::int64_t> Number(const char* query);
+  bool SetNumber(const char* statement, std::uint64_t value);
 
   sqlite3* database_;
 };
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -19,8 +19,6 @@
 // The platform asks every second and takes a process out after two refusals.
 constexpr milliseconds kServeOnAfterTerm{3200};
 constexpr milliseconds kGraceMargin{350};
-// A configuration that no member can vouch for is taken after this: better than none.
-constexpr milliseconds kWaitForCertainty{2500};
 constexpr milliseconds kListTooOld{1800};
 constexpr milliseconds kBetweenOwnReadings{1000};
 
@@ -33,9 +31,12 @@
       subscriber_(
           io, settings_,
           [this] {
-            return Subscriber::Have{version_, instances_revision_};
+            return Subscriber::Have{gate_.known_version(), instances_revision_};
+          },
+          [this](const wire::Publication& publication,
+                 std::optional<steady_clock::time_point> composed_after) {
+            Take(publication, composed_after);
           },
-          [this](const wire::Publication& publication) { Take(publication); },
           [this](const wire::LoadSummary& summary) {
             state_.backends.TakeLoads(summary, DecisionTime());
             publisher_.SendToAll(summary);
@@ -155,6 +156,8 @@
 void EdgeNode::OnChild(mesh::Connection& connection, wire::Message message) {
   if (const auto* subscribe = std::get_if<wire::Subscribe>(&message.body)) {
     publisher_.Subscribe(connection, message.sender, *subscribe, CurrentlyPublished());
+  } else if (const auto* probe = std::get_if<wire::Probe>(&message.body)) {
+    publisher_.NoteProbe(connection, *probe);
   } else if (auto* report = std::get_if<wire::LoadReport>(&message.body)) {
     const auto now = std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
     children_.ReportFromProxy(now, message.sender, std::move(*report));
@@ -162,11 +165,12 @@
 }
 
 distribution::Published EdgeNode::CurrentlyPublished() const {
-  const auto since = std::chrono::duration_cast<milliseconds>(steady_clock::now() - told_at_);
+  const auto since = std::chrono::duration_cast<milliseconds>(
+      steady_clock::now() - told_after_.value_or(steady_clock::time_point()));
   distribution::Published published;
-  published.version = version_;
+  published.version = gate_.version();
   published.configuration = configuration_;
-  if (told_.certain) published.age = milliseconds(told_.age_ms) + since;
+  if (told_.certain && told_after_) published.age = milliseconds(told_.age_ms) + since;
   published.instances = instances_;
   published.instances_age = milliseconds(told_.instances_age_ms) + since;
   published.proxies = told_.proxies;
@@ -197,15 +201,17 @@
   instances_read_ = steady_clock::now();
 }
 
-void EdgeNode::Take(const wire::Publication& publication) {
+void EdgeNode::Take(const wire::Publication& publication,
+                    std::optional<steady_clock::time_point> composed_after) {
   told_ = publication;
   told_.configuration.clear();
   told_.instances = nullptr;
-  told_at_ = steady_clock::now();
+  told_after_ = composed_after;
   if (publication.proxies > 0)
     state_.budget.set_proxies(static_cast<int>(publication.proxies), DecisionTime());
   TakeConfiguration(publication);
-  const auto read_at = steady_clock::now() - milliseconds(publication.instances_age_ms);
+  const auto read_at =
+      composed_after.value_or(steady_clock::time_point()) - milliseconds(publication.instances_age_ms);
   if (publication.instances && publication.instances->revision > instances_revision_ &&
       (instances_revision_ > 0 || read_at > instances_read_)) {
     state_.backends.Update(*publication.instances);
@@ -220,17 +226,16 @@
 }
 
 void EdgeNode::TakeConfiguration(const wire::Publication& publication) {
-  if (publication.configuration.empty() || publication.version <= version_) return;
-  if (!publication.certain && version_ == 0 && steady_clock::now() - started_ < kWaitForCertainty) return;
-  const configuration::ParseResult parsed = configuration::Parse(publication.configuration);
+  const auto configuration = gate_.Take(publication, subscriber_.fresh());
+  if (!configuration) return;
+  const configuration::ParseResult parsed = configuration::Parse(*configuration);
   if (!parsed.configuration) {
-    spdlog::error("configuration version={} refused: {}", publication.version, parsed.error);
+    spdlog::error("configuration version={} refused: {}", gate_.version(), parsed.error);
     return;
   }
   state_.routes = std::make_shared<const configuration::RouteTable>(parsed.configuration);
-  version_ = publication.version;
-  configuration_ = std::make_shared<const std::string>(publication.configuration);
-  spdlog::info("configuration version={} routes={}", version_, parsed.configuration->routes.size());
+  configuration_ = configuration;
+  spdlog::info("configuration version={} routes={}", gate_.version(), parsed.configuration->routes.size());
 }
 
 void EdgeNode::Drain(std::function<void()> done) {
--- a/src/data_plane/edge_node.h
+++ b/src/data_plane/edge_node.h
@@ -6,6 +6,7 @@
 #define KESTRELLINE_DATA_PLANE_EDGE_NODE_H_
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <system_error>
 
@@ -37,7 +38,9 @@
   void ScheduleTick();
   void ReportLoads();
   void TickDrain();
-  void Take(const wire::Publication& publication);
+  // `composed_after`: a time after which the sender composed it, by the own clock; nothing if that is
+  // unknown.
+  void Take(const wire::Publication& publication, std::optional<steady_clock::time_point> composed_after);
   void TakeConfiguration(const wire::Publication& publication);
   void OnChild(mesh::Connection& connection, wire::Message message);
   distribution::Published CurrentlyPublished() const;
@@ -60,10 +63,10 @@
   std::size_t most_clients_ = 0;
 
   steady_clock::time_point started_;
-  std::uint64_t version_ = 0;
+  ConfigurationGate gate_;
   std::shared_ptr<const std::string> configuration_;
-  wire::Publication told_;  // the latest, without its contents
-  steady_clock::time_point told_at_{};
+  wire::Publication told_;                              // the latest, without its contents
+  std::optional<steady_clock::time_point> told_after_;  // when it can have been composed at the earliest
   wire::InstanceListPtr instances_;
   std::uint64_t instances_revision_ = 0;
   steady_clock::time_point instances_read_{};
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -7,9 +7,8 @@
 
 #include <functional>
 #include <optional>
-#include <string>
-#include <vector>
 
+#include "data_plane/subscription.h"
 #include "http/asio.h"
 #include "mesh/mesh.h"
 #include "node/settings.h"
@@ -24,7 +23,9 @@
     std::uint64_t version = 0;
     std::uint64_t instances_revision = 0;
   };
-  using OnPublication = std::function<void(const wire::Publication&)>;
+  // `composed_after` is a time by the own clock after which the sender composed the publication.
+  using OnPublication = std::function<void(const wire::Publication&,
+                                           std::optional<http::steady_clock::time_point> composed_after)>;
 
   using OnLoads = std::function<void(const wire::LoadSummary&)>;
 
@@ -37,28 +38,24 @@
   void Tick();
   // To the member that is subscribed to; dropped if there is none.
   void Report(const wire::LoadReport& report);
+  // Whether what was told last is proven to be recent.
+  bool fresh() const { return subscription_.fresh(); }
 
  private:
   void Next();
   void Connected(http::Tcp::socket socket);
   void Take(const wire::Publication& publication);
   void Take(const wire::Referral& referral);
-  std::string NextPeer();
+  void SendNow(const wire::Body& body);
 
   http::asio::io_context& io_;
   const node::Settings& settings_;
   std::function<Have()> have_;
   OnPublication on_publication_;
   OnLoads on_loads_;
-  std::vector<std::string> peers_;
-  std::size_t next_peer_ = 0;
-  std::vector<std::string> relays_;  // proxies that members without room named
-  std::size_t refused_in_a_row_ = 0;
+  Subscription subscription_;
   std::shared_ptr<http::Tcp::socket> connecting_;
   mesh::ConnectionPtr connection_;
-  http::steady_clock::time_point attempt_began_{};
-  http::steady_clock::time_point heard_at_{};
-  bool fresh_ = false;  // what was heard last was certain and recent
   bool stopped_ = false;
 };
 
--- /dev/null
+++ b/src/distribution/publication.cpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "distribution/publication.h"
+
+#include <algorithm>
+
+namespace kestrelline::distribution {
+
+wire::Publication Compose(const SubscriberState& subscriber, const Published& now) {
+  wire::Publication publication;
+  publication.certain = now.age.has_value();
+  publication.age_ms = static_cast<std::uint32_t>(now.age.value_or(std::chrono::milliseconds(0)).count());
+  publication.version = now.version;
+  publication.hops = now.hops;
+  if (now.configuration && now.version > subscriber.version) publication.configuration = *now.configuration;
+  if (now.instances) {
+    publication.instances_revision = now.instances->revision;
+    publication.instances_age_ms = static_cast<std::uint32_t>(now.instances_age.count());
+    if (now.instances->revision > subscriber.instances_revision) publication.instances = now.instances;
+  }
+  publication.proxies = now.proxies;
+  publication.control_peers = now.control_peers;
+  return publication;
+}
+
+void Advance(SubscriberState& subscriber, const Published& now) {
+  if (now.configuration) subscriber.version = std::max(subscriber.version, now.version);
+  if (now.instances) {
+    subscriber.instances_revision = std::max(subscriber.instances_revision, now.instances->revision);
+  }
+}
+
+}  // namespace kestrelline::distribution
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -1,34 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "distribution/publisher.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace kestrelline::distribution {
 
-wire::Publication Publisher::Compose(const Subscriber& subscriber, const Published& now) const {
-  wire::Publication publication;
-  publication.certain = now.age.has_value();
-  publication.age_ms = static_cast<std::uint32_t>(now.age.value_or(std::chrono::milliseconds(0)).count());
-  publication.version = now.version;
-  publication.hops = now.hops;
-  if (now.configuration && now.version > subscriber.version) publication.configuration = *now.configuration;
-  if (now.instances) {
-    publication.instances_revision = now.instances->revision;
-    publication.instances_age_ms = static_cast<std::uint32_t>(now.instances_age.count());
-    if (now.instances->revision > subscriber.instances_revision) publication.instances = now.instances;
-  }
-  publication.proxies = now.proxies;
-  publication.control_peers = now.control_peers;
-  return publication;
-}
-
-void Publisher::Advance(Subscriber& subscriber, const Published& now) {
-  if (now.configuration) subscriber.version = std::max(subscriber.version, now.version);
-  if (now.instances)
-    subscriber.instances_revision = std::max(subscriber.instances_revision, now.instances->revision);
-}
-
 bool Publisher::Subscribe(mesh::Connection& connection, const std::string& proxy,
                           const wire::Subscribe& subscribe, const Published& now) {
   // One that was here before has a new connection; the old one may not have ended yet.
@@ -38,13 +14,22 @@
     return false;
   }
   Subscriber& subscriber = subscribers_[&connection];
-  subscriber = {connection.weak_from_this(), proxy, subscribe.version, subscribe.instances_revision};
-  const mesh::Frame frame = mesh_.Encode(Compose(subscriber, now));
-  Advance(subscriber, now);
-  connection.Send(frame);
+  subscriber = {
+      connection.weak_from_this(), proxy, {subscribe.version, subscribe.instances_revision, subscribe.probe}};
+  const mesh::Frame echo = mesh_.Encode(wire::Echo{subscribe.probe});
+  const mesh::Frame publication = mesh_.Encode(Compose(subscriber.state, now));
+  Advance(subscriber.state, now);
+  // Sending may end the connection and so change the table: the subscriber is not used after it.
+  connection.Send(echo);
+  connection.Send(publication);
   return true;
 }
 
+void Publisher::NoteProbe(mesh::Connection& connection, const wire::Probe& probe) {
+  const auto found = subscribers_.find(&connection);
+  if (found != subscribers_.end()) found->second.state.probe = probe.value;
+}
+
 wire::Referral Publisher::Refer() const {
   constexpr std::size_t kMostNamed = 8;
   wire::Referral referral;
@@ -55,18 +40,26 @@
 }
 
 void Publisher::Publish(const Published& now) {
+  struct Outgoing {
+    mesh::ConnectionPtr connection;
+    mesh::Frame echo;
+    mesh::Frame publication;
+  };
   // Most subscribers lack the same: each distinct publication is encoded once.
   std::map<std::pair<std::uint64_t, std::uint64_t>, mesh::Frame> frames;
-  std::vector<std::pair<mesh::ConnectionPtr, mesh::Frame>> outgoing;
+  std::vector<Outgoing> outgoing;
   for (auto& [key, subscriber] : subscribers_) {
-    mesh::Frame& frame = frames[{subscriber.version, subscriber.instances_revision}];
-    if (!frame) frame = mesh_.Encode(Compose(subscriber, now));
-    outgoing.emplace_back(subscriber.connection.lock(), frame);
-    Advance(subscriber, now);
+    SubscriberState& state = subscriber.state;
+    mesh::Frame& frame = frames[{state.version, state.instances_revision}];
+    if (!frame) frame = mesh_.Encode(Compose(state, now));
+    outgoing.push_back({subscriber.connection.lock(), mesh_.Encode(wire::Echo{state.probe}), frame});
+    Advance(state, now);
   }
   // Sending may end a connection and so change the table: it comes after the walk.
-  for (const auto& [connection, frame] : outgoing) {
-    if (connection) connection->Send(frame);
+  for (const Outgoing& each : outgoing) {
+    if (!each.connection) continue;
+    each.connection->Send(each.echo);
+    each.connection->Send(each.publication);
   }
 }
 
--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -102,13 +102,9 @@
     return kFailure;
   }
   boost::asio::signal_set ends(io, SIGTERM, SIGINT);
-  boost::asio::steady_timer last_words(io);
-  ends.async_wait([&](const boost::system::error_code&, int) {
-    constexpr milliseconds kLastWords{150};
-    node.Stop();
-    last_words.expires_after(kLastWords);
-    last_words.async_wait([&io](const boost::system::error_code&) { io.stop(); });
-  });
+  const auto leave = [&] { node.Leave([&io] { io.stop(); }); };
+  ends.async_wait([&](const boost::system::error_code&, int) { leave(); });
+  node.OnLeaveRequested(leave);
   spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
   io.run();
   return 0;
--- a/src/mesh/connection.cpp
+++ b/src/mesh/connection.cpp
@@ -55,6 +55,10 @@
     auto message = wire::DecodeEnvelope(rest.substr(wire::kLengthBytes, *length));
     if (!message) return false;
     taken += wire::kLengthBytes + *length;
+    if (const auto* echo = std::get_if<wire::Echo>(&message->body)) {
+      echo_ = echo->value;
+      continue;
+    }
     on_message_(*this, std::move(*message));
   }
   input_.erase(0, taken);
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -37,6 +37,8 @@
   // Ends it; OnClosed is not called.
   void Close();
   bool open() const { return open_; }
+  // The newest echo that came: what follows it was composed after that probe had reached the peer. 0: none.
+  std::uint64_t echo() const { return echo_; }
 
  private:
   void Read();
@@ -51,6 +53,7 @@
   std::size_t input_used_ = 0;
   std::deque<Frame> output_;
   std::size_t output_bytes_ = 0;
+  std::uint64_t echo_ = 0;
   bool writing_ = false;
   bool open_ = true;
 };
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -239,15 +239,15 @@
 }
 void Put(RawEnvelope& raw, const VoteRequest& request) {
   raw.has_vote_request = true;
-  raw.vote_request = {request.epoch, request.trial, true, Raw(request.held), request.waive_silence};
+  raw.vote_request = {request.epoch, request.pre_vote, true, Raw(request.held), request.nobody_leads};
 }
 void Put(RawEnvelope& raw, const VoteReply& reply) {
   raw.has_vote_reply = true;
   raw.vote_reply.epoch = reply.epoch;
-  raw.vote_reply.trial = reply.trial;
+  raw.vote_reply.pre_vote = reply.pre_vote;
   raw.vote_reply.granted = reply.granted;
   raw.vote_reply.promised = reply.promised;
-  raw.vote_reply.silent = reply.silent;
+  raw.vote_reply.restarted_lately = reply.restarted_lately;
   raw.vote_reply.leading = reply.leading;
   raw.vote_reply.has_record = reply.record != nullptr;
   if (reply.record) raw.vote_reply.record = Raw(*reply.record);
@@ -255,11 +255,14 @@
 void Put(RawEnvelope& raw, const Heartbeat& beat) {
   raw.has_heartbeat = true;
   raw.heartbeat = {beat.epoch,          beat.sent_ms, true,        Raw(beat.held), true,
-                   Raw(beat.committed), beat.proxies, beat.leased, beat.resigning};
+                   Raw(beat.committed), beat.proxies, beat.leased, beat.resigning, beat.echo,
+                   beat.successor_waits};
 }
 void Put(RawEnvelope& raw, const HeartbeatReply& reply) {
   raw.has_heartbeat_reply = true;
-  raw.heartbeat_reply = {reply.epoch, reply.sent_ms, reply.promised, true, Raw(reply.stored), reply.proxies};
+  raw.heartbeat_reply = {reply.epoch,   reply.sent_ms, reply.promised, true, Raw(reply.stored),
+                         reply.proxies, reply.probe,   reply.disk,     true, Raw(reply.writing),
+                         reply.leaving};
 }
 void Put(RawEnvelope& raw, const Append& append) {
   raw.has_append = true;
@@ -269,7 +272,7 @@
 }
 void Put(RawEnvelope& raw, const LearnRequest& request) {
   raw.has_learn_request = true;
-  raw.learn_request = {request.nonce};
+  raw.learn_request = {request.nonce, request.founding};
 }
 void Put(RawEnvelope& raw, const LearnReply& reply) {
   raw.has_learn_reply = true;
@@ -288,6 +291,7 @@
   raw.subscribe.version = subscribe.version;
   raw.subscribe.instances_revision = subscribe.instances_revision;
   raw.subscribe.zone = Writing(subscribe.zone);
+  raw.subscribe.probe = subscribe.probe;
 }
 void Put(RawEnvelope& raw, const Publication& publication) {
   raw.has_publication = true;
@@ -317,6 +321,14 @@
   raw.load_summary.whole = summary.whole;
 }
 
+void Put(RawEnvelope& raw, const Probe& probe) {
+  raw.has_probe = true;
+  raw.probe.value = probe.value;
+}
+void Put(RawEnvelope& raw, const Echo& echo) {
+  raw.has_echo = true;
+  raw.echo.value = echo.value;
+}
 void Put(RawEnvelope& raw, const Referral& referral) {
   raw.has_referral = true;
   raw.referral.proxies = Writing(referral.proxies);
@@ -370,32 +382,34 @@
 Body TakeBody(const RawEnvelope& raw, Parts& parts) {
   if (raw.has_hello) return Hello{raw.hello.counts_for_quorum, raw.hello.incarnation};
   if (raw.has_vote_request) {
-    return VoteRequest{raw.vote_request.epoch, raw.vote_request.trial, Cooked(raw.vote_request.held),
-                       raw.vote_request.waive_silence};
+    return VoteRequest{raw.vote_request.epoch, raw.vote_request.pre_vote, Cooked(raw.vote_request.held),
+                       raw.vote_request.nobody_leads};
   }
   if (raw.has_vote_reply) {
     const auto& reply = raw.vote_reply;
     return VoteReply{reply.epoch,
-                     reply.trial,
+                     reply.pre_vote,
                      reply.granted,
                      reply.promised,
                      Shared(reply.has_record, reply.record, parts.vote_record),
-                     reply.silent,
+                     reply.restarted_lately,
                      reply.leading};
   }
   if (raw.has_heartbeat) {
     const auto& beat = raw.heartbeat;
-    return Heartbeat{beat.epoch,   beat.sent_ms, Cooked(beat.held), Cooked(beat.committed),
-                     beat.proxies, beat.leased,  beat.resigning};
+    return Heartbeat{beat.epoch,  beat.sent_ms,   Cooked(beat.held), Cooked(beat.committed), beat.proxies,
+                     beat.leased, beat.resigning, beat.echo,         beat.successor_waits};
   }
   if (raw.has_heartbeat_reply) {
     const auto& reply = raw.heartbeat_reply;
-    return HeartbeatReply{reply.epoch, reply.sent_ms, reply.promised, Cooked(reply.stored), reply.proxies};
+    return HeartbeatReply{reply.epoch,          reply.sent_ms,         reply.promised,
+                          Cooked(reply.stored), reply.proxies,         reply.probe,
+                          reply.disk,           Cooked(reply.writing), reply.leaving};
   }
   if (raw.has_append) {
     return Append{raw.append.epoch, Shared(raw.append.has_record, raw.append.record, parts.append_record)};
   }
-  if (raw.has_learn_request) return LearnRequest{raw.learn_request.nonce};
+  if (raw.has_learn_request) return LearnRequest{raw.learn_request.nonce, raw.learn_request.founding};
   if (raw.has_learn_reply) {
     const auto& reply = raw.learn_reply;
     return LearnReply{reply.nonce, reply.promised, reply.voter,
@@ -408,6 +422,7 @@
   if (raw.has_subscribe) {
     parts.subscribe.version = raw.subscribe.version;
     parts.subscribe.instances_revision = raw.subscribe.instances_revision;
+    parts.subscribe.probe = raw.subscribe.probe;
     return std::move(parts.subscribe);
   }
   if (raw.has_publication) return FinishPublication(raw.publication, parts);
@@ -415,6 +430,8 @@
     parts.load_report.proxies = raw.load_report.proxies;
     return std::move(parts.load_report);
   }
+  if (raw.has_probe) return Probe{raw.probe.value};
+  if (raw.has_echo) return Echo{raw.echo.value};
   if (raw.has_referral) return std::move(parts.referral);
   if (raw.has_load_summary) {
     parts.load_summary.whole = raw.load_summary.whole;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -54,17 +54,17 @@
 };
 struct VoteRequest {
   std::uint64_t epoch = 0;
-  bool trial = false;  // asks whether a vote would be granted; binds nobody
+  bool pre_vote = false;  // asks whether a vote would be granted; binds nobody
   Position held;
-  bool waive_silence = false;  // every elector said that it does not lead
+  bool nobody_leads = false;  // every elector said that it does not lead
 };
 struct VoteReply {
   std::uint64_t epoch = 0;
-  bool trial = false;
+  bool pre_vote = false;
   bool granted = false;
   std::uint64_t promised = 0;
-  RecordPtr record;     // null unless newer than what the candidate holds
-  bool silent = false;  // the voter restarted lately and may have supported a leader before
+  RecordPtr record;               // null unless newer than what the candidate holds
+  bool restarted_lately = false;  // the voter may have supported a leader before it restarted
   bool leading = false;
 };
 struct Heartbeat {
@@ -72,9 +72,11 @@
   std::uint64_t sent_ms = 0;  // steady clock of the leader, returned as it is
   Position held;
   Position committed;
-  std::uint32_t proxies = 0;  // that subscribe anywhere in the control plane
-  bool leased = false;        // the leader's lease held when it sent this: `committed` was the newest
-  bool resigning = false;     // the leader stops; others need not wait for its lease to end
+  std::uint32_t proxies = 0;     // that subscribe anywhere in the control plane
+  bool leased = false;           // the leader's lease held when it sent this: `committed` was the newest
+  bool resigning = false;        // the leader stops; others need not wait for its lease to end
+  std::uint64_t echo = 0;        // the newest probe that came from the receiver; 0 if none did
+  bool successor_waits = false;  // a member without a vote could take the seat of one that leaves
 };
 struct HeartbeatReply {
   std::uint64_t epoch = 0;
@@ -82,6 +84,10 @@
   std::uint64_t promised = 0;
   Position stored;
   std::uint32_t proxies = 0;  // that subscribe at the sender
+  std::uint64_t probe = 0;    // to be echoed: dates the next heartbeat by the sender's own clock
+  std::uint64_t disk = 0;     // which disk `stored` is on; another one after a loss
+  Position writing;           // the newest record that is handed to the disk, stored or not
+  bool leaving = false;       // the sender is to stop and asks for a successor in its seat
 };
 struct Append {
   std::uint64_t epoch = 0;
@@ -89,6 +95,7 @@
 };
 struct LearnRequest {
   std::uint64_t nonce = 0;
+  bool founding = false;  // asks only whether the system was founded already
 };
 struct LearnReply {
   std::uint64_t nonce = 0;
@@ -122,6 +129,15 @@
   std::uint64_t version = 0;
   std::uint64_t instances_revision = 0;
   std::string zone;
+  std::uint64_t probe = 0;  // the first one, echoed before the first publication
+};
+// Asks for an echo of a value that means something to its sender alone (freshness/probe_clock.h).
+struct Probe {
+  std::uint64_t value = 0;
+};
+// What follows on this connection was composed after the probe of that value had come.
+struct Echo {
+  std::uint64_t value = 0;
 };
 struct Publication {
   std::uint32_t age_ms = 0;
@@ -166,7 +182,7 @@
 
 using Body = std::variant<std::monostate, Hello, VoteRequest, VoteReply, Heartbeat, HeartbeatReply, Append,
                           LearnRequest, LearnReply, InstanceList, Subscribe, Publication, LoadReport,
-                          LoadSummary, Referral>;
+                          LoadSummary, Referral, Probe, Echo>;
 
 struct Message {
   std::string sender;  // the sender's IP address, its name within the fleet
--- a/tests/control_plane/replica_test.cpp
+++ b/tests/control_plane/replica_test.cpp
@@ -7,13 +7,14 @@
 
 #include <cstdlib>
 
-#include "control_plane/replica_world.h"
+#include "control_sim/world.h"
 #include "support/sanitized.h"
 
 namespace kestrelline::control_plane {
 namespace {
 
-using World = ReplicaWorld;
+using control_sim::World;
+using control_sim::WorldOptions;
 
 // Sends the order, to whoever leads, until it is acknowledged or refused.
 std::optional<Outcome> OrderUntilDecided(World& world, std::uint64_t version, std::uint64_t builds_on,
@@ -76,7 +77,7 @@
 
 TEST_P(AfterAnAcknowledgement, WhatWasAcknowledgedIsThere) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    World::Options options;
+    WorldOptions options;
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
@@ -120,7 +121,7 @@
 TEST(Replica, OneThatRestartsDoesNotHelpToDeposeALeaderItSupported) {
   // The third is cut off from the leader, so that only the restarted one could make its quorum.
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    World::Options options;
+    WorldOptions options;
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
@@ -177,7 +178,7 @@
   // Found by models/epochs.pml: the first copy of a change is lost with its disk, its holder learns from
   // others that have none, and the next copy would have made two of one.
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    World::Options options;
+    WorldOptions options;
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
@@ -211,7 +212,7 @@
   const auto record = std::make_shared<const wire::Record>(held);
   ReplicaOptions options;
   options.self = World::NameOf(0);
-  Replica teacher(options, {4, record}, Time(1000));
+  Replica teacher(options, {4, 0, true, record}, Time(1000));
   teacher.Receive(Time(1100), World::NameOf(1), wire::LearnRequest{77});
   const auto effects = teacher.TakeEffects();
   ASSERT_EQ(effects.size(), 1u);
@@ -237,7 +238,7 @@
   held.members = {World::NameOf(0), World::NameOf(1), World::NameOf(2)};
   ReplicaOptions options;
   options.self = World::NameOf(0);
-  Replica receiver(options, {9, std::make_shared<const wire::Record>(held)}, Time(1000));
+  Replica receiver(options, {9, 0, true, std::make_shared<const wire::Record>(held)}, Time(1000));
   wire::Record late = held;
   late.position = {5, 2};
   receiver.Receive(Time(1100), World::NameOf(1), wire::Append{5, std::make_shared<const wire::Record>(late)});
@@ -247,7 +248,7 @@
 TEST(Replica, AnExchangeNeedsAQuorumOfTheOldMembersToo) {
   // The leader and a newcomer are cut off from the other two, at each moment of the exchange.
   for (int moment = 0; moment < 60; ++moment) {
-    World::Options options;
+    WorldOptions options;
     options.seed = 7 + static_cast<std::uint64_t>(moment % 3);
     options.most_delay = Span(60);
     World world(options);
@@ -287,17 +288,17 @@
   world.Wipe(others[1]);
   world.Start(others[1]);
   world.Run(Span(3000));
-  EXPECT_EQ(world.replica(others[1]).role(), Role::kLearning);
+  EXPECT_EQ(world.replica(others[1]).role(), Role::kLearner);
   EXPECT_EQ(world.Leader(), "");
   world.Start(others[0]);
   ASSERT_TRUE(world.RunUntilLed());
-  EXPECT_TRUE(world.RunUntil([&] { return world.replica(others[1]).role() != Role::kLearning; }, Span(3000)));
+  EXPECT_TRUE(world.RunUntil([&] { return world.replica(others[1]).role() != Role::kLearner; }, Span(3000)));
   EXPECT_EQ(world.broken(), "");
 }
 
 TEST(Replica, AReplacementTakesTheSeatOfOneThatIsGone) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    World::Options options;
+    WorldOptions options;
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
@@ -336,7 +337,7 @@
 }
 
 TEST(Replica, FiveGrowFromThreeAndBearTheLossOfTwoDisks) {
-  World::Options options;
+  WorldOptions options;
   options.members = 5;
   options.tolerated = 2;
   World world(options);
@@ -392,7 +393,7 @@
 
 // One at a time is lost, as the deployment promises; sometimes all lose power at once.
 void PlaySchedule(std::uint64_t seed) {
-  World::Options options;
+  WorldOptions options;
   options.seed = seed;
   options.loss = seed % 4 == 0 ? 0.05 : 0;
   options.straggle = seed % 5 == 0 ? 0.02 : 0;
@@ -451,7 +452,7 @@
 // A member is cut off, another machine takes its seat, and whoever leads is lost somewhere in between; then
 // the one that was cut off is back, believing what it believed.
 void PlayReplacement(std::uint64_t seed) {
-  World::Options options;
+  WorldOptions options;
   options.seed = seed;
   World world(options);
   ASSERT_TRUE(world.RunUntilLed()) << "seed " << seed;
--- a/tests/control_plane/store_test.cpp
+++ b/tests/control_plane/store_test.cpp
@@ -47,8 +47,8 @@
   {
     auto store = Open();
     const auto record = RecordOf(1, std::string(200000, 'x'));
-    ASSERT_FALSE(store->Write(3, &record));
-    ASSERT_FALSE(store->Write(4, nullptr));
+    ASSERT_FALSE(store->Write(3, 0, &record));
+    ASSERT_FALSE(store->Write(4, 0, nullptr));
   }
   const Stored stored = Open()->Load();
   EXPECT_EQ(stored.promised, 4u);
@@ -57,7 +57,7 @@
 }
 
 TEST_F(StoreTest, APromiseWithoutARecordCountsAsNothing) {
-  ASSERT_FALSE(Open()->Write(3, nullptr));
+  ASSERT_FALSE(Open()->Write(3, 0, nullptr));
   EXPECT_EQ(Open()->Load().promised, 0u);
 }
 
@@ -67,7 +67,7 @@
   ASSERT_TRUE(store);
   EXPECT_EQ(store->Load().record, nullptr);
   const auto record = RecordOf(1, "text");
-  EXPECT_FALSE(store->Write(1, &record));
+  EXPECT_FALSE(store->Write(1, 0, &record));
 }
 
 TEST_F(StoreTest, AFolderThatIsNotThereIsAnErrorAndNothingIsMade) {
@@ -86,7 +86,7 @@
       if (ticket == 3) done.set_value();
     });
     for (std::uint64_t i = 1; i <= 3; ++i) {
-      thread.Write({i, i, std::make_shared<const wire::Record>(RecordOf(i, std::to_string(i)))});
+      thread.Write({i, i, 0, std::make_shared<const wire::Record>(RecordOf(i, std::to_string(i)))});
     }
     done.get_future().wait();
   }
@@ -97,7 +97,7 @@
 TEST_F(StoreTest, WithoutAStoreEveryWriteFails) {
   std::promise<bool> told;
   StoreThread thread(nullptr, [&](std::uint64_t, bool written) { told.set_value(written); });
-  thread.Write({1, 1, nullptr});
+  thread.Write({1, 1, 0, nullptr});
   EXPECT_FALSE(told.get_future().get());
 }
 
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -50,23 +50,32 @@
   EXPECT_TRUE(AgainAs(Hello{true, 3}).counts_for_quorum);
   const auto request = AgainAs(VoteRequest{4, true, {1, 2}, true});
   EXPECT_EQ(request.epoch, 4u);
-  EXPECT_TRUE(request.trial && request.waive_silence);
+  EXPECT_TRUE(request.pre_vote && request.nobody_leads);
   EXPECT_EQ(request.held, (Position{1, 2}));
   const auto vote = AgainAs(VoteReply{4, true, true, 9, record, true, true});
   ASSERT_TRUE(vote.record);
   ExpectSample(*vote.record);
-  EXPECT_TRUE(vote.granted && vote.silent && vote.leading);
-  const auto beat = AgainAs(Heartbeat{4, 5, {1, 2}, {3, 4}, 6, true, true});
+  EXPECT_TRUE(vote.granted && vote.restarted_lately && vote.leading);
+  const auto beat = AgainAs(Heartbeat{4, 5, {1, 2}, {3, 4}, 6, true, true, 11, true});
   EXPECT_EQ(beat.committed, (Position{3, 4}));
-  EXPECT_TRUE(beat.leased && beat.resigning);
-  const auto reply = AgainAs(HeartbeatReply{4, 5, 6, {7, 8}, 9});
+  EXPECT_TRUE(beat.leased && beat.resigning && beat.successor_waits);
+  EXPECT_EQ(beat.echo, 11u);
+  const auto reply = AgainAs(HeartbeatReply{4, 5, 6, {7, 8}, 9, 12, 13, {14, 15}, true});
   EXPECT_EQ(reply.stored, (Position{7, 8}));
   EXPECT_EQ(reply.proxies, 9u);
+  EXPECT_EQ(reply.probe, 12u);
+  EXPECT_EQ(reply.disk, 13u);
+  EXPECT_EQ(reply.writing, (Position{14, 15}));
+  EXPECT_TRUE(reply.leaving);
   ExpectSample(*AgainAs(Append{4, record}).record);
-  EXPECT_EQ(AgainAs(LearnRequest{8}).nonce, 8u);
+  EXPECT_EQ(AgainAs(LearnRequest{8, true}).nonce, 8u);
+  EXPECT_TRUE(AgainAs(LearnRequest{8, true}).founding);
   const auto lesson = AgainAs(LearnReply{8, 9, true, record});
   ExpectSample(*lesson.record);
-  EXPECT_EQ(AgainAs(Subscribe{1, 2, "zone"}).zone, "zone");
+  EXPECT_EQ(AgainAs(Subscribe{1, 2, "zone", 16}).zone, "zone");
+  EXPECT_EQ(AgainAs(Subscribe{1, 2, "zone", 16}).probe, 16u);
+  EXPECT_EQ(AgainAs(Probe{17}).value, 17u);
+  EXPECT_EQ(AgainAs(Echo{18}).value, 18u);
 }
 
 TEST(Codec, PublicationsCarryTheListOfBackends) {
@@ -112,7 +121,7 @@
 }
 
 TEST(Codec, FieldsOfALaterProtocolAreSkipped) {
-  std::string frame = EncodeFrame({"10.0.0.1", LearnRequest{8}});
+  std::string frame = EncodeFrame({"10.0.0.1", LearnRequest{8, false}});
   std::string envelope = frame.substr(kLengthBytes);
   envelope += std::string("\xa2\x1f\x03xyz", 6);  // field 500, three bytes
   const auto message = DecodeEnvelope(envelope);
