--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -213,7 +213,10 @@
 
 Awaitable<void> ControlNode::Order(StageOrder order) {
   const std::string instance = order.instance;
-  const OrderEnd end = co_await GiveOrder(io_, std::move(order), settings_.node_name, replica_.epoch());
+  const std::uint64_t epoch = replica_.epoch();
+  OrderGiver giver{settings_.node_name, epoch,
+                   [this, epoch] { return Leads() && replica_.epoch() == epoch; }};
+  const OrderEnd end = co_await GiveOrder(io_, std::move(order), std::move(giver));
   if (end != OrderEnd::kRefused) co_return;
   spdlog::warn("order refused instance={}", instance);
   planner_.Refused(instance);
--- a/src/control_plane/stage_orders.h
+++ b/src/control_plane/stage_orders.h
@@ -5,6 +5,8 @@
 #define KESTRELLINE_CONTROL_PLANE_STAGE_ORDERS_H_
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 
 #include "control_plane/stage_planner.h"
@@ -14,13 +16,28 @@
 
 enum class OrderEnd {
   kTaken,    // it is being done, or holds already
-  kRefused,  // the backend said no
-  kUnknown,  // no answer: it may have been taken
+  kRefused,  // it was not given, or the backend said no
+  kUnknown,  // no answer, nor a report: it may have been taken
 };
 
-// `fence` is the leader's epoch.
-http::Awaitable<OrderEnd> GiveOrder(http::asio::io_context& io, StageOrder order, std::string holder,
-                                    std::uint64_t fence);
+// Who gives an order, and whether it still may. The fence is the leader's epoch.
+struct OrderGiver {
+  std::string holder;
+  std::uint64_t fence = 0;
+  std::function<bool()> may_send;  // asked right before the order leaves
+};
+
+// What a backend reports of itself (GET /-/report), as far as orders go by it.
+struct StageReport {
+  std::uint64_t sequence = 0;  // orders taken
+  bool busy = false;           // one is under way
+  bool prefill = false;
+};
+std::optional<StageReport> ParseStageReport(const std::string& body);
+
+// Asks the backend for its report first, so that the order names the sequence that it builds on; and again
+// where the order got no answer.
+http::Awaitable<OrderEnd> GiveOrder(http::asio::io_context& io, StageOrder order, OrderGiver giver);
 
 }  // namespace kestrelline::control_plane
 
--- a/src/control_sim/world.cpp
+++ b/src/control_sim/world.cpp
@@ -273,17 +273,17 @@
   if (!machines_.contains(send.to) || Chance(options_.loss)) return;
   const bool late = Chance(options_.straggle);
   Time at = now_ + Delay(late ? options_.most_straggle : options_.most_delay);
+  std::size_t bytes = 0;
   if (const auto* append = std::get_if<wire::Append>(&send.body)) {
-    const std::size_t bytes = append->record->configuration.size() + options_.history_bytes;
+    bytes = append->record->configuration.size() + options_.history_bytes;
     machines_[send.to].record_bytes += bytes;
-    if (options_.bytes_per_ms > 0) {
-      Time& free_at = link_free_at_[{from, send.to}];
-      free_at = std::max(free_at, now_) +
-                Span(static_cast<std::int64_t>(static_cast<double>(bytes) / options_.bytes_per_ms));
-      at = std::max(at, free_at);
-    }
-  } else if (options_.bytes_per_ms > 0) {
-    at = std::max(at, link_free_at_[{from, send.to}]);
+  }
+  // A slow link carries one thing after the other.
+  const double rate = std::max(machines_[from].bytes_per_ms, machines_[send.to].bytes_per_ms);
+  if (rate > 0) {
+    Time& free_at = link_free_at_[{from, send.to}];
+    free_at = std::max(free_at, now_) + Span(static_cast<std::int64_t>(static_cast<double>(bytes) / rate));
+    at = std::max(at, free_at);
   }
   At(at, [this, from, to = send.to, body = std::move(send.body)] { Deliver(from, to, body); });
 }
--- a/src/control_sim/world.h
+++ b/src/control_sim/world.h
@@ -46,7 +46,6 @@
   Span most_delay{4};
   Span sync{5};
   double drift = 0;               // most, of a steady clock's rate, either way
-  double bytes_per_ms = 0;        // of a member's link, for records; 0: no limit
   double lost_answers = 0;        // of the answers to operators
   std::size_t history_bytes = 0;  // of each configuration, besides
   std::ostream* trace = nullptr;  // a line whenever a role, an epoch, a version or a member changes
@@ -102,6 +101,10 @@
   void HealAll();
   void SetDiskFull(const std::string& name, bool full) { machines_[name].disk_full = full; }
   void SetSync(const std::string& name, Span sync) { machines_[name].sync = sync; }
+  // What that member sends and gets takes this long; 0: no limit.
+  void SetLinkRate(const std::string& name, double bytes_per_ms) {
+    machines_[name].bytes_per_ms = bytes_per_ms;
+  }
   // Bytes of records that were sent to that member so far.
   std::size_t RecordBytesTo(const std::string& name) const;
 
@@ -177,6 +180,7 @@
     Time last_change_published{-100000};
     std::optional<Time> leading_since;
     Time next_stage_order{0};
+    double bytes_per_ms = 0;       // of its link; 0: no limit
     std::size_t record_bytes = 0;  // sent to it
   };
   struct Proxy {
--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -60,7 +60,7 @@
     const auto [error, read] = co_await bhttp::async_read_header(stream_, buffer_, *parser_, kTuple);
     if (error) co_return error;
     const std::string_view id = parser_->get()["Request-Id"];
-    if (id.empty() || request_id.empty() || id == request_id) co_return error_code();
+    if (id == request_id) co_return error_code();
     std::string piece;
     do {
       const error_code failed = co_await ReadPiece(piece, until);
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -33,6 +33,8 @@
     "proxy-authenticate", "proxy-authorization", "upgrade", "expect",         "deadline-ms",
     "expect-instance",    "serving-stage",       "kv-from", "expect-version", "priority"};
 
+constexpr std::string_view kLastEventId = "Last-Event-Id";
+
 std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -125,6 +127,10 @@
   for (const auto& field : request) {
     if (IsOneOf(kConnectionFields, field.name_string()) || IsOneOf(kRequestFields, field.name_string()))
       continue;
+    // A stream that was broken off goes on after what this proxy passed on, not after what its client had
+    // before.
+    const bool superseded = !events_.last_id().empty() && beast::iequals(field.name_string(), kLastEventId);
+    if (superseded) continue;
     head += std::string_view(field.name_string());
     head += ": ";
     head += std::string_view(field.value());
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -14,6 +14,8 @@
 using namespace http;
 
 constexpr int kBreaksAfter = 2;  // whole events
+constexpr std::size_t kLongestBody = 8 * 1024 * 1024;
+constexpr milliseconds kBeforeReadingOn{30};
 
 std::string Chunk(const std::string& text) {
   char head[24];
@@ -125,15 +127,63 @@
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
   while (true) {
-    Request request;
-    const auto [error, read] = co_await bhttp::async_read(stream, buffer, request, kTuple);
-    if (error || !co_await Answer(stream, request)) break;
+    bhttp::request_parser<bhttp::string_body> parser;
+    parser.body_limit(kLongestBody);
+    const auto [head_error, head_read] = co_await bhttp::async_read_header(stream, buffer, parser, kTuple);
+    if (head_error) break;
+    const bool early = TakeIfNext(Fault::kEarlyRefusal);
+    if (early && !co_await RefuseEarly(stream, parser.get())) break;
+    const auto [error, read] = co_await bhttp::async_read(stream, buffer, parser, kTuple);
+    if (error) break;
+    if (early) continue;
+    const Request request = parser.release();
+    if (!co_await Answer(stream, request)) break;
   }
   stream.close();
   const std::lock_guard lock(mutex_);
   --connections_;
 }
 
+std::string Backend::Report() const {
+  const std::lock_guard lock(mutex_);
+  return std::string("{\"stage\":\"") + (options_.instance.prefill ? "prefill" : "decode") +
+         "\",\"busy\":false,\"sequence\":" + std::to_string(orders_.size()) + "}";
+}
+
+bool Backend::TakeIfNext(Fault fault) {
+  const std::lock_guard lock(mutex_);
+  if (faults_.empty() || faults_.front() != fault) return false;
+  faults_.pop_front();
+  return true;
+}
+
+// Then a moment in which whoever sends the body sees the answer before it has sent all.
+Awaitable<bool> Backend::RefuseEarly(beast::tcp_stream& stream, const Request& head) {
+  Record(head, false);
+  const std::string id(head["Request-Id"]);
+  const bool sent = co_await Write(
+      stream, WithBody(Head("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", ""));
+  asio::steady_timer pause(io_, kBeforeReadingOn);
+  co_await pause.async_wait(kTuple);
+  co_return sent;
+}
+
+// A body without a length.
+Awaitable<bool> Backend::AnswerUnframed(beast::tcp_stream& stream, const std::string& id, bool reset) {
+  const std::string body = "body of " + id;
+  const std::string head = Head("200 OK", id, true) + "Connection: close\r\n\r\n";
+  const std::string sent = reset ? body.substr(0, body.size() / 2) : body;
+  std::string text = head + sent;
+  co_await Write(stream, std::move(text));
+  error_code ignored;
+  if (reset) {
+    asio::steady_timer pause(io_, kBeforeReadingOn);  // what was sent arrives first
+    co_await pause.async_wait(kTuple);
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  co_return false;
+}
+
 Awaitable<bool> Backend::Write(beast::tcp_stream& stream, std::string text) {
   const auto [error, written] = co_await asio::async_write(stream, asio::buffer(text), kTuple);
   co_return !error;
@@ -151,22 +201,26 @@
   const std::string id(request["Request-Id"]);
   const std::string expected(request["Expect-Instance"]);
   if (!expected.empty() && expected != options_.instance.id) {
-    co_return co_await Write(
-        stream,
-        WithBody("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + options_.instance.id + "\r\n", ""));
+    co_return co_await Write(stream, WithBody("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + id +
+                                                  "\r\nInstance-Id: " + options_.instance.id + "\r\n",
+                                              ""));
   }
   if (request.method() == bhttp::verb::delete_) {
     const std::string target(request.target());
     TakeHandle(options_.instance.address + target.substr(target.rfind('/')));
     co_return co_await Write(stream, WithBody("HTTP/1.1 200 OK\r\n", ""));
   }
+  if (request.target() == "/-/report")
+    co_return co_await Write(stream, WithBody("HTTP/1.1 200 OK\r\n", Report()));
   if (request.target() == "/-/order") {
+    const Fault fault = Next();
     {
       const std::lock_guard lock(mutex_);
       orders_.push_back(request.body());
       options_.instance.prefill = request.body().find("\"stage\":\"prefill\"") != std::string::npos;
       options_.instance.decode = !options_.instance.prefill;
     }
+    if (fault == Fault::kCloseUnanswered) co_return false;
     co_return co_await Write(stream, WithBody("HTTP/1.1 202 Accepted\r\n", ""));
   }
   const Fault fault = Next();
@@ -177,8 +231,9 @@
   }
   if (fault == Fault::kMisdirect) {
     Record(request, false);
-    co_return co_await Write(stream,
-                             WithBody("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n", ""));
+    co_return co_await Write(
+        stream,
+        WithBody("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + id + "\r\nInstance-Id: other\r\n", ""));
   }
   if (request["Serving-Stage"] == "prefill") {
     Record(request, false);
@@ -190,7 +245,8 @@
   const std::string kv_from(request["Kv-From"]);
   if (!kv_from.empty() && !TakeHandle(kv_from)) {
     Record(request, false);
-    co_return co_await Write(stream, WithBody("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n", ""));
+    co_return co_await Write(
+        stream, WithBody(Head("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", ""));
   }
   Record(request, true);
   if (fault == Fault::kCloseUnanswered) co_return false;
@@ -204,9 +260,18 @@
   if (fault == Fault::kStrayAnswer) {
     if (!co_await Write(stream, WithBody(Head("200 OK", "of-another", true), "not yours"))) co_return false;
   }
+  if (fault == Fault::kNamelessAnswer) {
+    const std::string nameless = "HTTP/1.1 200 OK\r\nServer-Stamp: " + options_.instance.id + "\r\n";
+    if (!co_await Write(stream, WithBody(nameless, "not yours"))) co_return false;
+  }
+  if (fault == Fault::kUnframed || fault == Fault::kUnframedReset) {
+    co_return co_await AnswerUnframed(stream, id, fault == Fault::kUnframedReset);
+  }
   const bool streams = !request["Model-Name"].empty();
   if (streams) co_return co_await Stream(stream, request, fault);
-  co_return co_await Write(stream, WithBody(Head("200 OK", id, fault != Fault::kNoStamp), "body of " + id));
+  std::string answer = WithBody(Head("200 OK", id, fault != Fault::kNoStamp), "body of " + id);
+  if (fault == Fault::kExtraAnswer) answer += std::string(answer);
+  co_return co_await Write(stream, std::move(answer));
 }
 
 Awaitable<bool> Backend::Stream(beast::tcp_stream& stream, const Request& request, Fault fault) {
--- a/src/fleet_standin/backend.h
+++ b/src/fleet_standin/backend.h
@@ -29,6 +29,11 @@
   kError,            // 500 of its own
   kNoStamp,          // a success without its stamp
   kStrayAnswer,      // first an answer to another request, then its own
+  kNamelessAnswer,   // first an answer that tells no request, then its own
+  kExtraAnswer,      // its own, then a second one to the same request
+  kUnframed,         // no length: the body ends with the connection
+  kUnframedReset,    // the same, and the connection is reset in the middle
+  kEarlyRefusal,     // 503, Not-Executed, before the body is in, which is read on later
   kHang,             // runs it and says nothing
 };
 
@@ -76,6 +81,10 @@
   http::Awaitable<bool> Write(http::beast::tcp_stream& stream, std::string text);
   std::string Head(const std::string& status, const std::string& request_id, bool stamped) const;
   Fault Next();
+  std::string Report() const;
+  bool TakeIfNext(Fault fault);
+  http::Awaitable<bool> RefuseEarly(http::beast::tcp_stream& stream, const Request& head);
+  http::Awaitable<bool> AnswerUnframed(http::beast::tcp_stream& stream, const std::string& id, bool reset);
   bool TakeHandle(const std::string& kv_from);
   void Record(const Request& request, bool ran);
 
--- a/tests/router_fleet/requests_test.cpp
+++ b/tests/router_fleet/requests_test.cpp
@@ -173,6 +173,77 @@
   EXPECT_EQ(resumed_after, "2");
 }
 
+TEST(FleetRequests, AResumedStreamGoesOnAfterWhatWasPassedOnNotAfterWhatItsClientHad) {
+  // The client took its stream up itself, after event 1; then the backend breaks off, after event 3.
+  Fleet fleet(Fleet::Split(1, 3));
+  ASSERT_TRUE(fleet.Begin(true));
+  for (const char* id : {"d0", "d1", "d2"}) fleet.backend(id).Expect({Fault::kBreakStream, Fault::kNone});
+  const Answer answer = fleet.Send(
+      0, "/llm/x", "r1",
+      "Model-Name: m\r\nToken-Count: 9000,50\r\nPrompt-Prefix: aa:8900,r1:100\r\nLast-Event-Id: 1\r\n");
+  ASSERT_EQ(answer.status, 200);
+  std::string seen;
+  for (std::size_t at = 0; (at = answer.text.find("id: ", at)) != std::string::npos; at += 4) {
+    seen += answer.text[at + 4];
+  }
+  EXPECT_EQ(seen, "2345");  // two by the first, two by the one that goes on and breaks off, too
+}
+
+TEST(FleetRequests, AnAnswerThatTellsNoRequestIsNotTaken) {
+  Fleet fleet(Fleet::Plain(1));
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kNamelessAnswer});
+  const Answer answer = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.Has("body of r1"));
+  EXPECT_EQ(fleet.Runs("r1"), 1);
+}
+
+TEST(FleetRequests, ASecondAnswerIsNotTheNextRequests) {
+  Fleet fleet(Fleet::Plain(1));
+  ASSERT_TRUE(fleet.Begin());
+  for (int i = 0; i < 6; ++i) {
+    fleet.backend("a0").Expect({Fault::kExtraAnswer, Fault::kNone});
+    for (const std::string& id : {"x" + std::to_string(i), "y" + std::to_string(i)}) {
+      const Answer answer = fleet.Send(0, "/app/x", id);
+      if (answer.status == 200) EXPECT_TRUE(answer.Has("body of " + id)) << answer.text;
+      EXPECT_LE(fleet.Runs(id), 1);
+    }
+  }
+}
+
+TEST(FleetRequests, AnAnswerWithoutLengthIsWholeOnlyIfItsConnectionEndsWell) {
+  Fleet fleet(Fleet::Plain(1));
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kUnframed, Fault::kUnframedReset});
+  const Answer whole = fleet.Send(0, "/app/x", "r1");
+  EXPECT_EQ(whole.status, 200);
+  EXPECT_TRUE(whole.Has("body of r1"));
+  EXPECT_TRUE(whole.ended_well);
+  const Answer broken = fleet.Send(0, "/app/x", "r2");
+  EXPECT_EQ(broken.status, 502);
+  EXPECT_EQ(fleet.Runs("r2"), 1);
+}
+
+TEST(FleetRequests, ABodyThatIsRefusedEarlyReachesTheNextBackendWhole) {
+  Fleet fleet(Fleet::Plain(2));
+  ASSERT_TRUE(fleet.Begin());
+  const std::string body(900 * 1000, 'b');
+  for (const char* id : {"a0", "a1"}) fleet.backend(id).Expect({Fault::kEarlyRefusal});
+  Answer answer;
+  for (int i = 0; i < 3 && answer.status != 200; ++i) {
+    answer = fleet.Send(0, "/app/x", "r" + std::to_string(i), "", body);
+    EXPECT_TRUE(answer.status == 200 || answer.status == 503) << answer.status;
+    EXPECT_LE(fleet.Runs("r" + std::to_string(i)), 1);
+  }
+  EXPECT_EQ(answer.status, 200);
+  for (const char* id : {"a0", "a1"}) {
+    for (const auto& arrival : fleet.backend(id).arrivals()) {
+      if (arrival.ran) EXPECT_EQ(arrival.body, body);
+    }
+  }
+}
+
 TEST(FleetRequests, WhatTakesTooLongIsAnsweredAtItsTimeoutWithoutAPromise) {
   Fleet fleet({});
   ASSERT_EQ(fleet.Put(fleet.Configuration(1, 300), 0), 200);
