Founders go by the record of others, not by their promises: a first start of five may not hang

Change: a founder is told the epoch of the record, which rises only once a quorum has founded. The simulated machines of a first start come up within 300 ms of each other.

--- a/src/control_plane/replica_learner.cpp
+++ b/src/control_plane/replica_learner.cpp
@@ -42,8 +42,13 @@
 // commits nothing any more.
 void Replica::On(Time now, const std::string& from, const wire::LearnRequest& request) {
   Know(from);
-  if (!voter_ || request.founding) {
-    SendTo(from, wire::LearnReply{request.nonce, promised_, voter_, nullptr});
+  if (request.founding) {
+    // Promises alone tell nothing: a founder makes them to newcomers that learn before the others have founded.
+    SendTo(from, wire::LearnReply{request.nonce, StoredPosition().epoch, voter_, nullptr});
+    return;
+  }
+  if (!voter_) {
+    SendTo(from, wire::LearnReply{request.nonce, promised_, false, nullptr});
     return;
   }
   if (role_ == Role::kLeader) {
--- a/src/control_sim/schedule.cpp
+++ b/src/control_sim/schedule.cpp
@@ -411,6 +411,7 @@
   day.options.members = members;
   day.options.tolerated = members / 2;
   day.options.proxies = 3;
+  day.options.start_spread = Span(300);
   day.options.loss = seed % 4 == 0 ? 0.03 : 0;
   day.options.straggle = seed % 5 == 0 ? 0.02 : 0;
   day.options.most_delay = Span(seed % 3 == 0 ? 40 : 4);
--- a/src/control_sim/world.cpp
+++ b/src/control_sim/world.cpp
@@ -14,7 +14,13 @@
 
 World::World(WorldOptions options) : options_(options), random_(options.seed) {
   for (int i = 0; i < options.members; ++i) AddMachine(true);
-  for (const std::string& name : names_) Start(name);
+  for (const std::string& name : names_) {
+    if (options.start_spread == Span(0)) {
+      Start(name);
+    } else {
+      At(now_ + Delay(options.start_spread), [this, name] { Start(name); });
+    }
+  }
   for (int i = 0; i < options.proxies; ++i) {
     proxies_.emplace_back();
     RestartProxy(proxies_.size() - 1);
--- a/src/control_sim/world.h
+++ b/src/control_sim/world.h
@@ -45,6 +45,7 @@
   Span most_straggle{2500};
   Span most_delay{4};
   Span sync{5};
+  Span start_spread{0};           // the machines of the first start come up within this
   double drift = 0;               // most, of a steady clock's rate, either way
   double lost_answers = 0;        // of the answers to operators
   std::size_t history_bytes = 0;  // of each configuration, besides
