--- a/models/check.sh
+++ b/models/check.sh
@@ -84,4 +84,6 @@
 must holds epochs.pml "" epochs "nothing_lost one_value"
 for mutation in 1 2 3 4 5 7; do must fails epochs.pml "-DMUTATION=$mutation" "mutation-e$mutation" nothing_lost; done
 must fails epochs.pml "-DMUTATION=6" mutation-e6 one_value
+must holds epochs.pml "-DLATE_REPLIES -DMOST_WIPES=1" epochs-late nothing_lost
+must fails epochs.pml "-DLATE_REPLIES -DMOST_WIPES=1 -DMUTATION=8" mutation-e8 nothing_lost
 exit $failed
--- a/models/epochs.pml
+++ b/models/epochs.pml
@@ -15,6 +15,7 @@
  *   5  who lost its disk learns from one other                            nothing_lost
  *   6  a promise binds nobody                                             one_value
  *   7  copies of disks that were lost go on counting                      nothing_lost
+ *   8  replies that were on their way from a disk that was lost count     nothing_lost (with LATE_REPLIES)
  */
 #ifndef MUTATION
 #define MUTATION 0
@@ -22,7 +23,9 @@
 
 #define MOST_EPOCH 3
 #define MOST_VALUE 2
+#ifndef MOST_WIPES
 #define MOST_WIPES 2
+#endif
 
 byte promised[3], copy_epoch[3], copy_value[3];
 bool voter[3];
@@ -31,6 +34,8 @@
 byte votes[3], stored[3]; /* bits of members */
 byte best_epoch[2], best_value[2];
 byte value[2];      /* proposed by a leader */
+byte on_way[2];     /* bits of members whose reply to that leader is on its way */
+byte of_lost[2];    /* bits of members whose reply on its way is from a disk that the leader knows to be lost */
 bool committed[3];  /* the proposed value is acknowledged */
 byte acknowledged;  /* the newest value that was, and the epoch in which */
 byte ack_epoch;
@@ -62,11 +67,25 @@
            if :: promised[v] < epoch[c] -> promised[v] = epoch[c]; FORGETS(v) :: else -> skip fi; \
            votes[c] = votes[c] | (1 << v); Better(c, v) }
 #define LEADS(c) \
-  atomic { epoch[c] > 0 && !leads[c] && BITS_TWO(votes[c]) -> leads[c] = true; value[c] = best_value[c]; stored[c] = 0 }
+  atomic { epoch[c] > 0 && !leads[c] && BITS_TWO(votes[c]) -> leads[c] = true; value[c] = best_value[c]; stored[c] = 0; on_way[c] = 0; of_lost[c] = 0 }
 #define STORES(v, c) \
   atomic { leads[c] && voter[v] && (promised[v] <= epoch[c] || MUTATION == 4) && (stored[c] & (1 << v)) == 0 -> \
            if :: promised[v] < epoch[c] -> promised[v] = epoch[c]; FORGETS(v) :: else -> skip fi; \
-           copy_epoch[v] = epoch[c]; copy_value[v] = value[c]; stored[c] = stored[c] | (1 << v); \
+           copy_epoch[v] = epoch[c]; copy_value[v] = value[c]; \
+           REPLIES(v, c); \
+           if :: !committed[c] && ENOUGH(stored[c]) -> COMMIT(c) :: else -> skip fi }
+/* A reply is there at once, or, with LATE_REPLIES, on its way for as long as it likes. */
+#ifdef LATE_REPLIES
+#define REPLIES(v, c) \
+  if :: v == c -> stored[c] = stored[c] | (1 << v) \
+     :: else -> on_way[c] = on_way[c] | (1 << v); of_lost[c] = of_lost[c] & (7 - (1 << v)) fi
+#else
+#define REPLIES(v, c) stored[c] = stored[c] | (1 << v)
+#endif
+/* The reply comes; one from a disk that is known to be lost does not count. */
+#define ACKS(v, c) \
+  atomic { leads[c] && (on_way[c] & (1 << v)) != 0 -> on_way[c] = on_way[c] & (7 - (1 << v)); \
+           if :: (of_lost[c] & (1 << v)) == 0 || MUTATION == 8 -> stored[c] = stored[c] | (1 << v) :: else -> skip fi; \
            if :: !committed[c] && ENOUGH(stored[c]) -> COMMIT(c) :: else -> skip fi }
 /* With the copy that makes it enough; a leader that hears of it later acknowledges no more than this. One of an earlier epoch may
  * still acknowledge what later ones went on from. */
@@ -79,9 +98,9 @@
   if :: value[c] / 8 > acknowledged / 8 -> acknowledged = value[c]; ack_epoch = epoch[c] :: else -> skip fi
 #define ORDERS(c) \
   atomic { leads[c] && committed[c] && value[c] / 8 < MOST_VALUE -> \
-           value[c] = (value[c] / 8 + 1) * 8 + epoch[c]; committed[c] = false; stored[c] = 0 }
+           value[c] = (value[c] / 8 + 1) * 8 + epoch[c]; committed[c] = false; stored[c] = 0; on_way[c] = 0; of_lost[c] = 0 }
 #define FORGETS(c) \
-  if :: c < 2 -> epoch[c] = 0; leads[c] = false; committed[c] = false; votes[c] = 0; stored[c] = 0 :: c >= 2 -> skip fi
+  if :: c < 2 -> epoch[c] = 0; leads[c] = false; committed[c] = false; votes[c] = 0; stored[c] = 0; on_way[c] = 0; of_lost[c] = 0 :: c >= 2 -> skip fi
 /* The disk goes; leaders that counted the copy have counted it. */
 #define WIPED(v) \
   atomic { ALL_VOTE && wipes < MOST_WIPES -> wipes = wipes + 1; promised[v] = 0; copy_epoch[v] = 0; copy_value[v] = 0; \
@@ -99,7 +118,7 @@
 inline Teach(u, v) {
   if
   :: MUTATION == 7 -> skip
-  :: MUTATION != 7 && u < 2 && leads[u] -> stored[u] = stored[u] & (7 - (1 << v))
+  :: MUTATION != 7 && u < 2 && leads[u] -> stored[u] = stored[u] & (7 - (1 << v)); of_lost[u] = of_lost[u] | (on_way[u] & (1 << v))
   :: else -> promised[u] = promised[u] + 1; FORGETS(u)
   fi
 }
@@ -114,6 +133,7 @@
   :: VOTES(0, 1) :: VOTES(1, 0) :: VOTES(2, 0) :: VOTES(2, 1)
   :: LEADS(0) :: LEADS(1)
   :: STORES(0, 0) :: STORES(1, 0) :: STORES(2, 0) :: STORES(0, 1) :: STORES(1, 1) :: STORES(2, 1)
+  :: ACKS(1, 0) :: ACKS(2, 0) :: ACKS(0, 1) :: ACKS(2, 1)
   :: ORDERS(0) :: ORDERS(1)
   :: WIPED(0) :: WIPED(1) :: WIPED(2)
   :: LEARNS(0, 1, 2) :: LEARNS(1, 0, 2) :: LEARNS(2, 0, 1)
