--- a/tests/control_plane/replica_test.cpp
+++ b/tests/control_plane/replica_test.cpp
@@ -7,35 +7,20 @@
 
 #include <cstdlib>
 
-#include "control_sim/world.h"
+#include "control_sim/decide.h"
 #include "support/sanitized.h"
 
 namespace kestrelline::control_plane {
 namespace {
 
+using control_sim::Decide;
 using control_sim::World;
 using control_sim::WorldOptions;
 
-// Sends the order, to whoever leads, until it is acknowledged or refused.
-std::optional<Outcome> OrderUntilDecided(World& world, std::uint64_t version, std::uint64_t builds_on,
-                                         const std::string& body, Span at_most = Span(8000)) {
-  const Time until = world.now() + at_most;
-  while (world.now() < until) {
-    if (!world.Order(version, builds_on, body)) {
-      world.Run(Span(50));
-      continue;
-    }
-    world.RunUntil([&] { return world.last_outcome().has_value(); }, Span(1000));
-    const auto outcome = world.last_outcome();
-    if (outcome && *outcome != Outcome::kNotLeader) return outcome;
-  }
-  return std::nullopt;
-}
-
 TEST(Replica, AChangeIsAcknowledgedAndKnownToAll) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  EXPECT_EQ(OrderUntilDecided(world, 3, 0, "first"), Outcome::kTaken);
+  EXPECT_EQ(Decide(world, 3, 0, "first"), Outcome::kTaken);
   world.Run(Span(100));
   for (const std::string& name : world.names()) {
     ASSERT_TRUE(world.replica(name).committed());
@@ -48,28 +33,28 @@
 TEST(Replica, OfTwoChangesOnOneVersionExactlyOneIsTaken) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "base"), Outcome::kTaken);
-  ASSERT_EQ(OrderUntilDecided(world, 2, 1, "one"), Outcome::kTaken);
-  EXPECT_EQ(OrderUntilDecided(world, 2, 1, "other"), Outcome::kConflict);
-  EXPECT_EQ(OrderUntilDecided(world, 3, 1, "third"), Outcome::kConflict);
+  ASSERT_EQ(Decide(world, 1, 0, "base"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 2, 1, "one"), Outcome::kTaken);
+  EXPECT_EQ(Decide(world, 2, 1, "other"), Outcome::kConflict);
+  EXPECT_EQ(Decide(world, 3, 1, "third"), Outcome::kConflict);
   EXPECT_EQ(world.broken(), "");
 }
 
 TEST(Replica, TheSameOrderAgainIsTakenAlsoAfterALaterOne) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
-  ASSERT_EQ(OrderUntilDecided(world, 2, 1, "two"), Outcome::kTaken);
-  EXPECT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 2, 1, "two"), Outcome::kTaken);
+  EXPECT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   EXPECT_EQ(world.replica(world.Leader()).committed()->configuration, "two");
 }
 
 TEST(Replica, AVersionThatIsNotAboveTheCurrentOneIsRefused) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 5, 0, "five"), Outcome::kTaken);
-  EXPECT_EQ(OrderUntilDecided(world, 5, 5, "five again, but other"), Outcome::kOldVersion);
-  EXPECT_EQ(OrderUntilDecided(world, 4, 5, "four"), Outcome::kOldVersion);
+  ASSERT_EQ(Decide(world, 5, 0, "five"), Outcome::kTaken);
+  EXPECT_EQ(Decide(world, 5, 5, "five again, but other"), Outcome::kOldVersion);
+  EXPECT_EQ(Decide(world, 4, 5, "four"), Outcome::kOldVersion);
 }
 
 // Each loss right after an acknowledgement, then the read.
@@ -81,8 +66,8 @@
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
-    ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
-    ASSERT_EQ(OrderUntilDecided(world, 2, 1, "two"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 2, 1, "two"), Outcome::kTaken);
     const std::string leader = world.Leader();
     const std::string how = GetParam();
     if (how == "leader loses power") world.Kill(leader, false);
@@ -98,8 +83,8 @@
     }
     ASSERT_TRUE(world.RunUntilLed(Span(4000))) << how << ", seed " << seed;
     EXPECT_EQ(world.replica(world.Leader()).committed()->configuration, "two") << how;
-    EXPECT_EQ(OrderUntilDecided(world, 2, 1, "two"), Outcome::kTaken);
-    EXPECT_EQ(OrderUntilDecided(world, 3, 2, "three"), Outcome::kTaken);
+    EXPECT_EQ(Decide(world, 2, 1, "two"), Outcome::kTaken);
+    EXPECT_EQ(Decide(world, 3, 2, "three"), Outcome::kTaken);
     EXPECT_EQ(world.broken(), "");
   }
 }
@@ -111,7 +96,7 @@
 TEST(Replica, AfterAllRestartNobodyWaitsForALeaseThatAllForgot) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   for (const std::string& name : world.names()) world.Kill(name, false);
   for (const std::string& name : world.names()) world.Start(name);
   EXPECT_TRUE(world.RunUntilLed(Span(700)));
@@ -125,7 +110,7 @@
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
-    ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     world.Cut(leader, others[1]);
@@ -141,9 +126,9 @@
 TEST(Replica, AFullDiskHoldsNobodyUp) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   world.SetDiskFull(world.Leader(), true);
-  EXPECT_EQ(OrderUntilDecided(world, 2, 1, "two", Span(1500)), Outcome::kTaken);
+  EXPECT_EQ(Decide(world, 2, 1, "two", Span(1500)), Outcome::kTaken);
   EXPECT_EQ(world.broken(), "");
 }
 
@@ -154,7 +139,7 @@
     std::string slow = world.Leader();
     if (!leaders) slow = world.names()[0] == slow ? world.names()[1] : world.names()[0];
     world.SetSync(slow, Span(3000));
-    EXPECT_EQ(OrderUntilDecided(world, 1, 0, "one", Span(500)), Outcome::kTaken);
+    EXPECT_EQ(Decide(world, 1, 0, "one", Span(500)), Outcome::kTaken);
   }
 }
 
@@ -162,7 +147,7 @@
   // The leader's disk is slow: another's copy and its own unwritten one are no quorum.
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
   const std::vector<std::string> others = world.Except(leader);
   world.SetSync(leader, Span(2000));
@@ -182,7 +167,7 @@
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
-    ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     world.SetSync(leader, Span(1500));
@@ -253,7 +238,7 @@
     options.most_delay = Span(60);
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
-    ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     const std::string fresh = world.AddMachine();
@@ -272,7 +257,7 @@
     ASSERT_EQ(world.broken(), "") << "moment " << moment;
     world.HealAll();
     ASSERT_TRUE(world.RunUntilLed());
-    EXPECT_EQ(OrderUntilDecided(world, 2, 1, "two"), Outcome::kTaken);
+    EXPECT_EQ(Decide(world, 2, 1, "two"), Outcome::kTaken);
     ASSERT_EQ(world.broken(), "") << "moment " << moment;
   }
 }
@@ -280,7 +265,7 @@
 TEST(Replica, OneWithAnEmptyDiskDoesNotAcknowledgeBeforeItHasLearned) {
   World world({});
   ASSERT_TRUE(world.RunUntilLed());
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
   const std::vector<std::string> others = world.Except(leader);
   // Only the leader is there to learn from: that is no quorum of others.
@@ -302,7 +287,7 @@
     options.seed = seed;
     World world(options);
     ASSERT_TRUE(world.RunUntilLed());
-    ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+    ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
     const std::string gone = world.names()[seed % 3];
     world.Wipe(gone);
     const std::string fresh = world.AddMachine();
@@ -321,7 +306,7 @@
     world.Wipe(second);
     ASSERT_TRUE(world.RunUntilLed());
     EXPECT_EQ(world.replica(world.Leader()).committed()->configuration, "one");
-    EXPECT_EQ(OrderUntilDecided(world, 2, 1, "two"), Outcome::kTaken);
+    EXPECT_EQ(Decide(world, 2, 1, "two"), Outcome::kTaken);
     EXPECT_EQ(world.broken(), "");
   }
 }
@@ -348,7 +333,7 @@
                world.replica(leader).committed()->next_members.empty();
       },
       Span(6000)));
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
   int wiped = 0;
   for (const std::string& name : world.names()) {
@@ -442,7 +427,7 @@
     ASSERT_TRUE(world.RunUntilLed(Span(6000))) << "seed " << seed << " round " << round;
     version = world.replica(world.Leader()).committed()->version;
     const std::uint64_t next = version + 1 + world.random()() % 3;
-    ASSERT_EQ(OrderUntilDecided(world, next, version, "calm " + std::to_string(round)), Outcome::kTaken)
+    ASSERT_EQ(Decide(world, next, version, "calm " + std::to_string(round)), Outcome::kTaken)
         << "seed " << seed << " round " << round;
     version = next;
     ASSERT_EQ(world.broken(), "");
@@ -456,7 +441,7 @@
   options.seed = seed;
   World world(options);
   ASSERT_TRUE(world.RunUntilLed()) << "seed " << seed;
-  ASSERT_EQ(OrderUntilDecided(world, 1, 0, "one"), Outcome::kTaken);
+  ASSERT_EQ(Decide(world, 1, 0, "one"), Outcome::kTaken);
   const std::string leader = world.Leader();
   std::string away = world.names()[world.random()() % 3];
   world.CutOff(away);
@@ -482,7 +467,7 @@
   world.Run(Span(2000));
   ASSERT_TRUE(world.RunUntilLed(Span(8000))) << "seed " << seed;
   const std::uint64_t version = world.replica(world.Leader()).committed()->version;
-  ASSERT_EQ(OrderUntilDecided(world, version + 1, version, "after"), Outcome::kTaken) << "seed " << seed;
+  ASSERT_EQ(Decide(world, version + 1, version, "after"), Outcome::kTaken) << "seed " << seed;
   ASSERT_EQ(world.broken(), "");
 }
 
--- a/tests/control_sim/safeguards_test.cpp
+++ b/tests/control_sim/safeguards_test.cpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 
+#include "control_sim/decide.h"
 #include "control_sim/driven_replica.h"
 #include "control_sim/schedule.h"
 
@@ -66,19 +67,6 @@
   return world.broken();
 }
 
-// Sends it to the leader until it is decided.
-Outcome Decide(World& world, std::uint64_t version, std::uint64_t builds_on, const std::string& body) {
-  for (const Time until = world.now() + Span(8000); world.now() < until;) {
-    if (!world.Order(version, builds_on, body)) {
-      world.Run(Span(50));
-      continue;
-    }
-    world.RunUntil([&] { return world.last_outcome().has_value(); }, Span(1500));
-    if (world.last_outcome() && *world.last_outcome() != Outcome::kNotLeader) return *world.last_outcome();
-  }
-  return Outcome::kNotLeader;
-}
-
 WorldOptions Options(std::uint64_t seed, int proxies = 0) {
   WorldOptions options;
   options.seed = seed;
--- a/tests/control_sim/worst_days_test.cpp
+++ b/tests/control_sim/worst_days_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdlib>
 
+#include "control_sim/decide.h"
 #include "control_sim/schedule.h"
 #include "support/sanitized.h"
 
@@ -29,19 +30,6 @@
   return static_cast<int>(world.replica(leader).committed()->members.size()) == members;
 }
 
-// To the leader until it is decided.
-Outcome Decide(World& world, std::uint64_t version, std::uint64_t builds_on, const std::string& body) {
-  for (const Time until = world.now() + Span(8000); world.now() < until;) {
-    if (!world.Order(version, builds_on, body)) {
-      world.Run(Span(20));
-      continue;
-    }
-    world.RunUntil([&] { return world.last_outcome().has_value(); }, Span(1500));
-    if (world.last_outcome() && *world.last_outcome() != Outcome::kNotLeader) return *world.last_outcome();
-  }
-  return Outcome::kNotLeader;
-}
-
 // --- 1: a member that is cut off for twenty seconds ---
 
 TEST(WorstDays, ALeaderThatIsCutOffStepsDownAndItsProxiesGetTheNewest) {
