--- a/src/control_plane/replica_learner.cpp
+++ b/src/control_plane/replica_learner.cpp
@@ -43,7 +43,8 @@
 void Replica::On(Time now, const std::string& from, const wire::LearnRequest& request) {
   Know(from);
   if (request.founding) {
-    // Promises alone tell nothing: a founder makes them to newcomers that learn before the others have founded.
+    // Promises alone tell nothing: a founder makes them to newcomers that learn before the others have
+    // founded.
     SendTo(from, wire::LearnReply{request.nonce, StoredPosition().epoch, voter_, nullptr});
     return;
   }
