Second reading of the simulation: what waits, who leads and the first change stand once

Cause: reading the change again. Draining what waits for a process that stood still was written twice, "leads by its own clock" six times, the opening of six scenarios each by hand; three fields were never used, the origin of time stood twice. Change: World::TakeWaiting, World::Leads, Begin in safeguards_test.cpp; the unused fields are gone. The daemon's sources are not touched.

--- a/src/control_sim/world.cpp
+++ b/src/control_sim/world.cpp
@@ -6,12 +6,6 @@
 #include <algorithm>
 
 namespace kestrelline::control_sim {
-namespace {
-
-constexpr Time kStart{100000};
-
-}  // namespace
-
 World::World(WorldOptions options) : options_(options), random_(options.seed) {
   for (int i = 0; i < options.members; ++i) AddMachine(true);
   for (const std::string& name : names_) {
@@ -181,8 +175,7 @@
 
 std::string World::Leader() {
   for (const auto& [name, machine] : machines_) {
-    if (machine.replica && now_ >= machine.frozen_until && machine.replica->Leads(LocalTime(machine)))
-      return name;
+    if (machine.replica && now_ >= machine.frozen_until && Leads(machine)) return name;
   }
   return "";
 }
@@ -222,23 +215,25 @@
   if (options_.trace != nullptr) Trace();
 }
 
+// A process that ends on the way has nothing waiting any more.
+void World::TakeWaiting(std::deque<std::function<void()>>& waiting) {
+  while (!waiting.empty()) {
+    const auto run = std::move(waiting.front());
+    waiting.pop_front();
+    run();
+  }
+}
+
 void World::TickMachine(const std::string& name) {
   Machine& machine = machines_[name];
   if (!machine.replica || now_ < machine.frozen_until) return;
   // After standing still, what waits in the sockets and the timers come in either order.
-  const auto take_waiting = [&] {
-    while (machine.replica && !machine.waiting.empty()) {
-      const auto run = std::move(machine.waiting.front());
-      machine.waiting.pop_front();
-      run();
-    }
-  };
   const bool timers_first = machine.waiting.empty() || Chance(0.5);
-  if (!timers_first) take_waiting();
+  if (!timers_first) TakeWaiting(machine.waiting);
   if (!machine.replica) return;
   machine.replica->Tick(LocalTime(machine));
   Pump(name);
-  take_waiting();
+  TakeWaiting(machine.waiting);
   if (!machine.replica) return;
   PublishIfDue(name);
   GiveStageOrder(name);
@@ -281,7 +276,7 @@
   Time at = now_ + Delay(late ? options_.most_straggle : options_.most_delay);
   std::size_t bytes = 0;
   if (const auto* append = std::get_if<wire::Append>(&send.body)) {
-    bytes = append->record->configuration.size() + options_.history_bytes;
+    bytes = append->record->configuration.size();
     machines_[send.to].record_bytes += bytes;
   }
   // A slow link carries one thing after the other.
@@ -340,7 +335,7 @@
     if (!machine.replica) continue;
     const wire::RecordPtr committed = machine.replica->committed();
     const std::uint64_t version = committed ? committed->version : 0;
-    if (now_ >= machine.frozen_until && machine.replica->Leads(LocalTime(machine))) ++leaders;
+    if (now_ >= machine.frozen_until && Leads(machine)) ++leaders;
     if (machine.seen_life == machine.life && version < machine.seen_version) audit_.WentBack(now_, name);
     machine.seen_life = machine.life;
     machine.seen_version = version;
@@ -359,7 +354,7 @@
     }
     text += control_plane::NameOf(machine.replica->role());
     if (now_ < machine.frozen_until) text += ",frozen";
-    if (machine.replica->Leads(LocalTime(machine))) text += ",leads";
+    if (Leads(machine)) text += ",leads";
     text += " epoch " + std::to_string(machine.replica->epoch()) + " promised " +
             std::to_string(machine.disk.promised);
     if (machine.disk.record) {
--- a/src/control_sim/world.h
+++ b/src/control_sim/world.h
@@ -48,7 +48,6 @@
   Span start_spread{0};           // the machines of the first start come up within this
   double drift = 0;               // most, of a steady clock's rate, either way
   double lost_answers = 0;        // of the answers to operators
-  std::size_t history_bytes = 0;  // of each configuration, besides
   std::ostream* trace = nullptr;  // a line whenever a role, an epoch, a version or a member changes
 };
 
@@ -188,8 +187,6 @@
     std::unique_ptr<SimulatedProxy> proxy;
     Time frozen_until{0};
     std::uint64_t life = 0;
-    std::uint64_t echo = 0;
-    std::optional<Time> connecting_since;
     std::deque<std::function<void()>> waiting;
   };
   struct Pending {
@@ -210,6 +207,10 @@
   // Whom new settings name as seeds: up to three that serve, else those who founded the system.
   std::vector<std::string> ListedMembers();
   Time LocalTime(const Machine& machine) const;
+  // By its own clock; the process runs.
+  bool Leads(const Machine& machine) const { return machine.replica->Leads(LocalTime(machine)); }
+  // Runs what came while a process stood still, for as long as the process lives.
+  static void TakeWaiting(std::deque<std::function<void()>>& waiting);
   void Apply(Machine& machine, const Persist& persist);
   void At(Time at, std::function<void()> run) { events_.push({at, next_event_++, std::move(run)}); }
   void Step();
@@ -247,7 +248,8 @@
 
   WorldOptions options_;
   std::mt19937_64 random_;
-  Time now_{100000};
+  static constexpr Time kStart{100000};
+  Time now_ = kStart;
   std::vector<std::string> names_;
   std::map<std::string, Machine> machines_;
   std::vector<Proxy> proxies_;
--- a/src/control_sim/world_traffic.cpp
+++ b/src/control_sim/world_traffic.cpp
@@ -100,7 +100,7 @@
     const std::uint64_t life = machines_[member].life;
     OnMachine(member, life, [this, progress, member, redirects, answered, sends] {
       Machine& machine = machines_[member];
-      if (machine.replica->Leads(LocalTime(machine))) return ProposeAt(member, progress->order, answered);
+      if (Leads(machine)) return ProposeAt(member, progress->order, answered);
       const std::string leader = machine.replica->LiveLeader(LocalTime(machine));
       const bool go_on = !leader.empty() && leader != member && redirects < kMostRedirects;
       if (!go_on || sends != progress->sends) return answered(Outcome::kNotLeader);
@@ -122,7 +122,7 @@
   At(now_ + Delay(kOperatorDelay), [this, member, sent] {
     OnMachine(member, machines_[member].life, [this, member, sent] {
       const Machine& machine = machines_[member];
-      if (!machine.replica->Leads(LocalTime(machine))) return;
+      if (!Leads(machine)) return;
       audit_.Read(now_, sent, machine.replica->committed()->version);
     });
   });
@@ -228,14 +228,7 @@
 void World::TickProxy(std::size_t index) {
   Proxy& proxy = proxies_[index];
   if (now_ < proxy.frozen_until) return;
-  const auto take_waiting = [&] {
-    while (!proxy.waiting.empty()) {
-      const auto run = std::move(proxy.waiting.front());
-      proxy.waiting.pop_front();
-      run();
-    }
-  };
-  if (Chance(0.5)) take_waiting();
+  if (Chance(0.5)) TakeWaiting(proxy.waiting);
   data_plane::Subscription& subscription = proxy.proxy->subscription();
   const bool may_try = subscription.MayTryAgain(now_);
   if (proxy.proxy->peer.empty() || (may_try && subscription.ShouldLeave(now_))) {
@@ -249,7 +242,7 @@
       }
     });
   }
-  take_waiting();
+  TakeWaiting(proxy.waiting);
 }
 
 // --- stage orders ---
@@ -259,7 +252,7 @@
 void World::GiveStageOrder(const std::string& name) {
   Machine& machine = machines_[name];
   const Time local = LocalTime(machine);
-  if (!machine.replica->Leads(local)) {
+  if (!Leads(machine)) {
     machine.leading_since.reset();
     return;
   }
--- a/tests/control_sim/safeguards_test.cpp
+++ b/tests/control_sim/safeguards_test.cpp
@@ -67,6 +67,9 @@
   return world.broken();
 }
 
+// Somebody leads, and the change that each scenario builds on is taken.
+bool Begin(World& world) { return world.RunUntilLed() && Decide(world, 1, 0, "one") == Outcome::kTaken; }
+
 WorldOptions Options(std::uint64_t seed, int proxies = 0) {
   WorldOptions options;
   options.seed = seed;
@@ -102,8 +105,7 @@
   // The first publication to a proxy is held up while changes are made.
   const auto scenario = [](std::uint64_t seed) -> std::string {
     World world(Options(seed, 1));
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     world.Run(Span(500));
     const std::string member = world.names()[seed % 3];
     world.RestartProxy(0, {member});
@@ -117,8 +119,7 @@
   };
   const auto frozen = [scenario](std::uint64_t seed) -> std::string {
     World world(Options(seed, 1));
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     world.Run(Span(500));
     world.RestartProxy(0);
     world.Run(Span(10));  // it has just subscribed
@@ -137,8 +138,7 @@
   // Others lead meanwhile and take both.
   const auto scenario = [](std::uint64_t seed) -> std::string {
     World world(Options(seed));
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     const std::string frozen = world.Leader();
     world.OrderAt(frozen, 2, 1, "two");
     world.OrderAt(frozen, 5, 3, "five");
@@ -202,8 +202,7 @@
   // copy would make two of one.
   const auto scenario = [](std::uint64_t seed) -> std::string {
     World world(Options(seed));
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     world.SetSync(leader, Span(1500));
@@ -228,8 +227,7 @@
     WorldOptions options = Options(7 + seed % 3);
     options.most_delay = Span(60);
     World world(options);
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     const std::string fresh = world.AddMachine();
@@ -322,8 +320,7 @@
   // change comes up later, the one that has it last.
   const auto scenario = [](std::uint64_t seed) -> std::string {
     World world(Options(seed));
-    if (!world.RunUntilLed()) return "nobody leads";
-    if (Decide(world, 1, 0, "one") != Outcome::kTaken) return "not taken";
+    if (!Begin(world)) return "no first change";
     const std::string leader = world.Leader();
     const std::vector<std::string> others = world.Except(leader);
     world.CutOff(others[1]);
