--- a/src/control_sim/world_traffic.cpp
+++ b/src/control_sim/world_traffic.cpp
@@ -65,7 +65,7 @@
 }
 
 std::shared_ptr<OrderInProgress> World::Submit(const OperatorOrder& order) {
-  const auto progress = std::make_shared<OrderInProgress>();
+  auto progress = std::make_shared<OrderInProgress>();
   progress->order = order;
   SendOrder(progress, ListedMember(), 0);
   return progress;
