Members on edges: proxies pass on at a port of their own, diskless control sends callers on

Cause: two processes of a machine took the same internal port; where all machines are edges none served control.

--- /dev/null
+++ b/src/control_plane/control_gateway.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A control process on a machine without a disk: it can't be a member, so it sends callers of the operator's
+// API on to the leader. It holds no state and asks members only when somebody calls, and now and then for who
+// they are.
+#ifndef KESTRELLINE_CONTROL_PLANE_CONTROL_GATEWAY_H_
+#define KESTRELLINE_CONTROL_PLANE_CONTROL_GATEWAY_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include "control_plane/member_directory.h"
+#include "http/api_server.h"
+#include "node/settings.h"
+
+namespace kestrelline::control_plane {
+
+class ControlGateway {
+ public:
+  ControlGateway(http::asio::io_context& io, const node::Settings& settings);
+
+  std::error_code Start();
+  // Answers what was read; `done` is called when the process may end.
+  void Leave(std::function<void()> done);
+
+ private:
+  http::Awaitable<http::ApiResponse> Handle(http::ApiRequest request);
+  // A member to send callers to: the leader where one is known. Empty: no member answers.
+  http::Awaitable<std::string> FindMember();
+  http::Awaitable<std::optional<MembersReport>> AskMember(std::string member);
+  http::Awaitable<void> KeepDirectory();
+  http::Awaitable<void> Stop(std::function<void()> done);
+
+  http::asio::io_context& io_;
+  const node::Settings settings_;
+  const std::uint16_t control_port_;
+  MemberDirectory directory_;
+  http::ApiServer server_;
+  http::asio::steady_timer refresh_;
+  bool stopping_ = false;
+};
+
+}  // namespace kestrelline::control_plane
+
+#endif  // KESTRELLINE_CONTROL_PLANE_CONTROL_GATEWAY_H_
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -54,7 +54,7 @@
 ControlNode::ControlNode(asio::io_context& io, const node::Settings& settings, std::unique_ptr<Store> store)
     : io_(io),
       settings_(settings),
-      mesh_(io, settings.ip, settings.first_port, traffic_),
+      mesh_(io, settings.ip, settings.MemberEndpoint(), traffic_),
       replica_(OptionsOf(settings), LoadFrom(store.get()), Now()),
       publisher_(mesh_, settings.most_subscribers),
       reader_(io, settings.cloud.value_or(node::Endpoint{})),
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -69,7 +69,7 @@
             publisher_.SendToAll(summary);
           },
           traffic_),
-      mesh_(io, settings.ip, settings.first_port, traffic_),
+      mesh_(io, node::ToText(settings.RelayEndpoint()), settings.RelayEndpoint(), traffic_),
       publisher_(mesh_, settings.most_subscribers),
       ready_server_(io, [this](ApiRequest request) { return Readiness(std::move(request)); }),
       acceptor_(io),
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -31,7 +31,8 @@
       on_publication_(std::move(on_publication)),
       on_loads_(std::move(on_loads)),
       traffic_(std::move(traffic)),
-      subscription_(settings.ip, SeedsOf(settings), std::random_device{}()) {}
+      name_(node::ToText(settings.RelayEndpoint())),
+      subscription_(name_, SeedsOf(settings), std::random_device{}()) {}
 
 void Subscriber::Start() { Next(); }
 
@@ -61,7 +62,8 @@
   const auto peer = subscription_.BeginAttempt(Now());
   if (!peer) return;
   error_code error;
-  const Tcp::endpoint there(asio::ip::make_address(*peer, error), settings_.first_port);
+  const node::Endpoint place = PlaceOf(*peer);
+  const Tcp::endpoint there(asio::ip::make_address(place.ip, error), place.port);
   if (error) return;
   const auto socket = std::make_shared<Tcp::socket>(io_);
   connecting_ = socket;
@@ -72,6 +74,11 @@
   });
 }
 
+// A member is known by its IP address, a proxy that passes on by IP:PORT.
+node::Endpoint Subscriber::PlaceOf(const std::string& peer) const {
+  return node::ParseEndpoint(peer).value_or(node::Endpoint{peer, settings_.first_port});
+}
+
 void Subscriber::Connected(Tcp::socket socket) {
   mesh::SetOptions(socket);
   const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
@@ -88,7 +95,7 @@
 }
 
 void Subscriber::SendNow(const wire::Body& body) {
-  connection_->Send(std::make_shared<const std::string>(wire::EncodeFrame({settings_.ip, body})));
+  connection_->Send(std::make_shared<const std::string>(wire::EncodeFrame({name_, body})));
 }
 
 void Subscriber::Report(const wire::LoadReport& report) {
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -45,6 +45,7 @@
 
  private:
   void Next();
+  node::Endpoint PlaceOf(const std::string& peer) const;
   void Connected(http::Tcp::socket socket);
   void Take(const wire::Publication& publication);
   void Take(const wire::Referral& referral);
@@ -56,6 +57,7 @@
   OnPublication on_publication_;
   OnLoads on_loads_;
   std::shared_ptr<mesh::Traffic> traffic_;
+  const std::string name_;  // in what this proxy sends
   Subscription subscription_;
   std::shared_ptr<http::Tcp::socket> connecting_;
   mesh::ConnectionPtr connection_;
--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "configuration/configuration.h"
+#include "control_plane/control_gateway.h"
 #include "control_plane/control_node.h"
 #include "data_plane/edge_node.h"
 #include "fleet_main/operator_client.h"
@@ -95,7 +96,23 @@
   return nullptr;
 }
 
+// A machine without a disk can't be a member: it sends callers on.
+int RunGateway(const Settings& settings) {
+  boost::asio::io_context io(1);
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  kestrelline::control_plane::ControlGateway gateway(io, settings);
+  if (const std::error_code error = gateway.Start()) {
+    spdlog::critical("cannot start: {}", error.message());
+    return kFailure;
+  }
+  ends.async_wait([&](const boost::system::error_code&, int) { gateway.Leave([&io] { io.stop(); }); });
+  spdlog::info("started role=gateway zone={}", settings.zone);
+  io.run();
+  return 0;
+}
+
 int RunCore(const Settings& settings) {
+  if (settings.data_dir.empty()) return RunGateway(settings);
   spdlog::info("starting role=core zone={}", settings.zone);
   auto store = OpenStore(settings.data_dir);
   if (!store) return kFailure;
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -17,14 +17,18 @@
 
 }  // namespace
 
-Mesh::Mesh(boost::asio::io_context& io, std::string self, std::uint16_t port,
+Mesh::Mesh(boost::asio::io_context& io, std::string name, node::Endpoint listen,
            std::shared_ptr<Traffic> traffic)
-    : io_(io), self_(std::move(self)), port_(port), traffic_(std::move(traffic)), acceptor_(io) {}
+    : io_(io),
+      name_(std::move(name)),
+      listen_(std::move(listen)),
+      traffic_(std::move(traffic)),
+      acceptor_(io) {}
 
 std::error_code Mesh::Listen(OnMessage on_message, OnClosed on_closed) {
   on_message_ = std::move(on_message);
   on_closed_ = std::move(on_closed);
-  if (const std::error_code error = http::OpenAcceptor(acceptor_, {self_, port_})) return error;
+  if (const std::error_code error = http::OpenAcceptor(acceptor_, listen_)) return error;
   Accept();
   return {};
 }
@@ -51,7 +55,7 @@
 void Mesh::Forget(Connection& connection) { incoming_.erase(connection.shared_from_this()); }
 
 Frame Mesh::Encode(const wire::Body& body) const {
-  return std::make_shared<const std::string>(wire::EncodeFrame({self_, body}));
+  return std::make_shared<const std::string>(wire::EncodeFrame({name_, body}));
 }
 
 void Mesh::Send(const std::string& name, Frame frame) {
@@ -67,7 +71,7 @@
 
 void Mesh::Connect(const std::string& name, Peer& peer) {
   boost::system::error_code error;
-  const Tcp::endpoint there(boost::asio::ip::make_address(name, error), port_);
+  const Tcp::endpoint there(boost::asio::ip::make_address(name, error), listen_.port);
   if (error) return peer.waiting.clear();
   const auto socket = std::make_shared<Tcp::socket>(io_);
   peer.connecting = socket;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -17,6 +17,7 @@
 #include <system_error>
 
 #include "mesh/connection.h"
+#include "node/settings.h"
 
 namespace kestrelline::mesh {
 
@@ -29,11 +30,12 @@
   using OnMessage = Connection::OnMessage;
   using OnClosed = Connection::OnClosed;
 
-  // All processes of the fleet listen at the same `port`, so that an IP address names one.
-  Mesh(boost::asio::io_context& io, std::string self, std::uint16_t port, std::shared_ptr<Traffic> traffic);
+  // `name` is how this process calls itself in what it sends: a member by its IP address, a proxy by IP:PORT.
+  Mesh(boost::asio::io_context& io, std::string name, node::Endpoint listen,
+       std::shared_ptr<Traffic> traffic);
 
   std::error_code Listen(OnMessage on_message, OnClosed on_closed);
-  // To the peer by its IP address.
+  // To the peer by its IP address; it listens at the same port as this process.
   void Send(const std::string& peer, Frame frame);
   Frame Encode(const wire::Body& body) const;
   // Ends all connections and the listener.
@@ -55,8 +57,8 @@
   void Forget(Connection& connection);
 
   boost::asio::io_context& io_;
-  const std::string self_;
-  const std::uint16_t port_;
+  const std::string name_;
+  const node::Endpoint listen_;
   const std::shared_ptr<Traffic> traffic_;
   Tcp::acceptor acceptor_;
   OnMessage on_message_;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -186,6 +186,12 @@
   return Endpoint{text.substr(0, colon), port};
 }
 
+std::string ToText(const Endpoint& endpoint) { return endpoint.ip + ":" + std::to_string(endpoint.port); }
+
+Endpoint Settings::RelayEndpoint() const {
+  return {ip, static_cast<std::uint16_t>(first_port < last_port ? first_port + 1 : first_port)};
+}
+
 bool Settings::Serves(const std::string& interface) const {
   return std::find(serves.begin(), serves.end(), interface) != serves.end();
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -21,6 +21,8 @@
   std::uint16_t port = 0;
   bool operator==(const Endpoint&) const = default;
 };
+// IP:PORT.
+std::string ToText(const Endpoint& endpoint);
 // Nothing unless `text` is IP:PORT.
 std::optional<Endpoint> ParseEndpoint(const std::string& text);
 
@@ -78,6 +80,10 @@
   std::size_t most_subscribers = 24;  // of a member, or of a proxy that passes on; [relay] of the file
 
   bool Serves(const std::string& interface) const;
+  // Where a member of the control plane listens for the internal protocol, on any machine.
+  Endpoint MemberEndpoint() const { return {ip, first_port}; }
+  // Where a proxy listens that passes on what it is told: beside a member on the same machine.
+  Endpoint RelayEndpoint() const;
 };
 
 // Either settings or `FILE:LINE: what is wrong`.
