PATCH /-/config alters named items on the terms of PUT

Need: operators of the new customer send PATCH; 405 left changes without an acknowledgement. Change: a patch is merged with the version it builds on, checked whole, replicated as a whole record; one sent again is known by its digest, one that builds on another version is acknowledged only if it was taken before.

--- /dev/null
+++ b/src/configuration/patch.cpp
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "configuration/patch.h"
+
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace kestrelline::configuration {
+namespace {
+
+// Caught by Patch, never seen outside.
+struct InvalidPatch : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+using Names = std::set<std::string, std::less<>>;
+
+// The name of an item of a list; `where` is the list, for messages.
+std::string NameOf(const json_t* item, const std::string& where, std::size_t index) {
+  const json_t* name = json_object_get(item, "name");
+  if (json_is_string(name)) return json_string_value(name);
+  throw InvalidPatch(where + "[" + std::to_string(index) + "] has no name");
+}
+
+// Calls `visit(key, list)` for each list of the section `key`, which may be absent.
+template <typename Visit>
+void ForEachList(const json_t* root, const char* section, Visit visit) {
+  json_t* lists = json_object_get(root, section);
+  if (lists == nullptr || json_is_null(lists)) return;
+  if (!json_is_object(lists)) throw InvalidPatch(std::string(section) + " is no object");
+  const char* key = nullptr;
+  json_t* list = nullptr;
+  json_object_foreach(lists, key, list) {
+    const std::string where = std::string(section) + "." + key;
+    if (!json_is_array(list)) throw InvalidPatch(where + " is no list");
+    visit(key, where, list);
+  }
+}
+
+Names NamesToRemove(const json_t* list, const std::string& where) {
+  Names names;
+  std::size_t index = 0;
+  const json_t* name = nullptr;
+  json_array_foreach(list, index, name) {
+    if (!json_is_string(name)) throw InvalidPatch(where + "[" + std::to_string(index) + "] is no name");
+    names.insert(json_string_value(name));
+  }
+  return names;
+}
+
+Names NamesOfItems(const json_t* list, const std::string& where) {
+  Names names;
+  std::size_t index = 0;
+  const json_t* item = nullptr;
+  json_array_foreach(list, index, item) {
+    const std::string name = NameOf(item, where, index);
+    if (!names.insert(name).second) throw InvalidPatch(where + " names " + name + " twice");
+  }
+  return names;
+}
+
+void CheckForm(const json_t* root) {
+  if (!json_is_object(root)) throw InvalidPatch("the patch is no object");
+  const char* key = nullptr;
+  const json_t* value = nullptr;
+  json_object_foreach(const_cast<json_t*>(root), key, value) {
+    const std::string_view name = key;
+    if (name != "version" && name != "upsert" && name != "remove") {
+      throw InvalidPatch("a patch has no " + std::string(name));
+    }
+  }
+  const json_t* version = json_object_get(root, "version");
+  if (!json_is_integer(version) || json_integer_value(version) < 1) {
+    throw InvalidPatch("version is no whole number above 0");
+  }
+  ForEachList(root, "remove",
+              [](const char*, const std::string& where, json_t* list) { NamesToRemove(list, where); });
+  ForEachList(root, "upsert",
+              [](const char*, const std::string& where, json_t* list) { NamesOfItems(list, where); });
+}
+
+// The list of that key; an empty one is made where there is none.
+json_t* ListOf(json_t* configuration, const char* key) {
+  json_t* list = json_object_get(configuration, key);
+  if (list == nullptr) {
+    json_object_set_new(configuration, key, json_array());
+    list = json_object_get(configuration, key);
+  }
+  if (!json_is_array(list)) throw InvalidPatch(std::string("the configuration's ") + key + " are no list");
+  return list;
+}
+
+bool IsNamed(const json_t* item, const Names& names) {
+  const json_t* name = json_object_get(item, "name");
+  return json_is_string(name) && names.contains(json_string_value(name));
+}
+
+void Remove(json_t* list, const Names& names) {
+  for (std::size_t index = json_array_size(list); index-- > 0;) {
+    if (IsNamed(json_array_get(list, index), names)) json_array_remove(list, index);
+  }
+}
+
+// Items that are there keep their place; new ones follow.
+void Upsert(json_t* list, json_t* items, const std::string& where) {
+  std::map<std::string, std::size_t, std::less<>> places;
+  for (std::size_t index = 0; index < json_array_size(list); ++index) {
+    const json_t* name = json_object_get(json_array_get(list, index), "name");
+    if (json_is_string(name)) places.emplace(json_string_value(name), index);
+  }
+  for (std::size_t index = 0; index < json_array_size(items); ++index) {
+    json_t* item = json_array_get(items, index);
+    const auto place = places.find(NameOf(item, where, index));
+    if (place == places.end()) {
+      json_array_append(list, item);
+    } else {
+      json_array_set(list, place->second, item);
+    }
+  }
+}
+
+std::string Dump(const json_t* value) {
+  struct Free {
+    void operator()(char* text) const { std::free(text); }
+  };
+  const std::unique_ptr<char, Free> text(json_dumps(value, JSON_COMPACT));
+  return text ? text.get() : std::string();
+}
+
+}  // namespace
+
+Patch::Result Patch::Parse(std::string_view text) {
+  json_error_t error;
+  json::Owned root = json::Load(text, error, JSON_REJECT_DUPLICATES);
+  if (!root) return {std::nullopt, "line " + std::to_string(error.line) + ": " + error.text};
+  try {
+    CheckForm(root.get());
+  } catch (const InvalidPatch& invalid) {
+    return {std::nullopt, invalid.what()};
+  }
+  const auto version = static_cast<std::uint64_t>(json_integer_value(json_object_get(root.get(), "version")));
+  return {Patch(std::move(root), version), ""};
+}
+
+PatchedText Patch::ApplyTo(std::string_view configuration) const {
+  const json::Owned next = json::Load(configuration);
+  if (!next) return {"", "there is no configuration to alter"};
+  try {
+    ForEachList(root_.get(), "remove", [&](const char* key, const std::string& where, json_t* list) {
+      Remove(ListOf(next.get(), key), NamesToRemove(list, where));
+    });
+    ForEachList(root_.get(), "upsert", [&](const char* key, const std::string& where, json_t* list) {
+      Upsert(ListOf(next.get(), key), list, where);
+    });
+  } catch (const InvalidPatch& invalid) {
+    return {"", invalid.what()};
+  }
+  json_object_set_new(next.get(), "version", json_integer(static_cast<json_int_t>(version_)));
+  std::string text = Dump(next.get());
+  const ParseResult parsed = configuration::Parse(text);
+  if (!parsed.configuration) return {"", parsed.error};
+  return {std::move(text), ""};
+}
+
+}  // namespace kestrelline::configuration
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "configuration/configuration.h"
+#include "configuration/patch.h"
 
 namespace kestrelline::control_plane {
 namespace {
@@ -58,8 +59,9 @@
   const std::string target(request.target());
   if (target == "/-/config") {
     if (request.method() == bhttp::verb::put) co_return co_await Put(std::move(request));
+    if (request.method() == bhttp::verb::patch) co_return co_await Alter(std::move(request));
     if (request.method() == bhttp::verb::get) co_return co_await Get(target);
-    co_return ErrorResponse(bhttp::status::method_not_allowed, "PUT or GET");
+    co_return ErrorResponse(bhttp::status::method_not_allowed, "PUT, PATCH or GET");
   }
   const bool get = request.method() == bhttp::verb::get;
   if (target == "/-/status" && get) co_return JsonResponse(bhttp::status::ok, state_.Status());
@@ -126,6 +128,28 @@
   co_return AnswerTo(co_await Decide(std::move(change)), version);
 }
 
+Awaitable<ApiResponse> OperatorApi::Alter(ApiRequest request) {
+  if (auto elsewhere = co_await ElsewhereUnlessLeading("/-/config")) co_return std::move(*elsewhere);
+  const auto builds_on = IfMatch(request);
+  if (!builds_on) co_return ErrorResponse(bhttp::status::bad_request, "If-Match holds no version");
+  const configuration::Patch::Result parsed = configuration::Patch::Parse(request.body());
+  if (!parsed.patch) co_return ErrorResponse(bhttp::status::bad_request, parsed.error);
+  Change change;
+  change.version = parsed.patch->version();
+  change.builds_on = *builds_on;
+  change.digest = DigestOf(request.body());
+  const wire::RecordPtr record = state_.Committed();
+  if (record && record->version == *builds_on) {
+    configuration::PatchedText patched = parsed.patch->ApplyTo(record->configuration);
+    if (!patched.error.empty()) co_return ErrorResponse(bhttp::status::bad_request, patched.error);
+    change.configuration = std::move(patched.text);
+  } else {
+    change.only_if_known = true;
+  }
+  const std::uint64_t version = change.version;
+  co_return AnswerTo(co_await Decide(std::move(change)), version);
+}
+
 Awaitable<Outcome> OperatorApi::Decide(Change change) {
   struct Waiting {
     explicit Waiting(asio::io_context& io) : timer(io, kDecisionPatience) {}
--- a/src/control_plane/operator_api.h
+++ b/src/control_plane/operator_api.h
@@ -45,6 +45,8 @@
   // Waits a little for a leader; nothing if this member leads, else the answer that sends the caller on.
   http::Awaitable<std::optional<http::ApiResponse>> ElsewhereUnlessLeading(std::string target);
   http::Awaitable<http::ApiResponse> Put(http::ApiRequest request);
+  // Alters named items of the configuration, on the terms of Put.
+  http::Awaitable<http::ApiResponse> Alter(http::ApiRequest request);
   http::Awaitable<http::ApiResponse> Get(std::string target);
   // The versions that were taken, the oldest first.
   http::Awaitable<http::ApiResponse> History(std::string target);
--- a/src/control_plane/orders.cpp
+++ b/src/control_plane/orders.cpp
@@ -15,7 +15,7 @@
   // Versions of changes that were taken rise: one below the oldest that is remembered may be a forgotten one.
   const bool forgotten = history.size() >= kMostHistory && change.version < history.front().version;
   if (forgotten) return Outcome::kForgotten;
-  if (change.builds_on != current.version) return Outcome::kConflict;
+  if (change.only_if_known || change.builds_on != current.version) return Outcome::kConflict;
   if (change.version <= current.version) return Outcome::kOldVersion;
   return std::nullopt;
 }
