Proxies get changes of the configuration as patches, whole ones only as newcomers

Change: members keep the steps between published versions; proxies apply them to the configuration as read and make its text only for newcomers that they pass on to.

--- a/src/configuration/parse.cpp
+++ b/src/configuration/parse.cpp
@@ -6,16 +6,12 @@
 
 #include "configuration/configuration.h"
 #include "configuration/lower_case.h"
+#include "configuration/read_items.h"
 #include "json/owned.h"
 
 namespace kestrelline::configuration {
 namespace {
 
-// Caught by Parse, never seen outside.
-struct Invalid : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 // One JSON object and where it stands in the configuration, for messages.
 class Object {
  public:
@@ -179,21 +175,30 @@
   const json_t* services = root.Array("services");
   for (std::size_t i = 0; i < json_array_size(services); ++i) {
     configuration.services.push_back(
-        ParseService(Object(json_array_get(services, i), "services[" + std::to_string(i) + "]")));
+        ReadService(json_array_get(services, i), "services[" + std::to_string(i) + "]"));
   }
   const json_t* routes = root.Array("routes");
   for (std::size_t i = 0; i < json_array_size(routes); ++i) {
-    configuration.routes.push_back(
-        ParseRoute(Object(json_array_get(routes, i), "routes[" + std::to_string(i) + "]")));
+    configuration.routes.push_back(ReadRoute(json_array_get(routes, i), "routes[" + std::to_string(i) + "]"));
   }
   if (root.Has("limits")) configuration.limits = ParseLimits(Object(root.Raw("limits"), "limits"));
-  CheckServicesKnown(configuration);
-  CheckPlacesDiffer(configuration);
+  CheckWhole(configuration);
   return configuration;
 }
 
 }  // namespace
 
+Route ReadRoute(const json_t* item, const std::string& where) { return ParseRoute(Object(item, where)); }
+
+Service ReadService(const json_t* item, const std::string& where) {
+  return ParseService(Object(item, where));
+}
+
+void CheckWhole(const Configuration& configuration) {
+  CheckServicesKnown(configuration);
+  CheckPlacesDiffer(configuration);
+}
+
 const Service* Configuration::FindService(std::string_view name) const {
   const auto found = std::find_if(services.begin(), services.end(),
                                   [name](const Service& service) { return service.name == name; });
--- a/src/configuration/patch.cpp
+++ b/src/configuration/patch.cpp
@@ -1,28 +1,26 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "configuration/patch.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
-#include <stdexcept>
 #include <utility>
+#include <vector>
+
+#include "configuration/read_items.h"
 
 namespace kestrelline::configuration {
 namespace {
 
-// Caught by Patch, never seen outside.
-struct InvalidPatch : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 using Names = std::set<std::string, std::less<>>;
 
 // The name of an item of a list; `where` is the list, for messages.
 std::string NameOf(const json_t* item, const std::string& where, std::size_t index) {
   const json_t* name = json_object_get(item, "name");
   if (json_is_string(name)) return json_string_value(name);
-  throw InvalidPatch(where + "[" + std::to_string(index) + "] has no name");
+  throw Invalid(where + "[" + std::to_string(index) + "] has no name");
 }
 
 // Calls `visit(key, list)` for each list of the section `key`, which may be absent.
@@ -30,12 +28,12 @@
 void ForEachList(const json_t* root, const char* section, Visit visit) {
   json_t* lists = json_object_get(root, section);
   if (lists == nullptr || json_is_null(lists)) return;
-  if (!json_is_object(lists)) throw InvalidPatch(std::string(section) + " is no object");
+  if (!json_is_object(lists)) throw Invalid(std::string(section) + " is no object");
   const char* key = nullptr;
   json_t* list = nullptr;
   json_object_foreach(lists, key, list) {
     const std::string where = std::string(section) + "." + key;
-    if (!json_is_array(list)) throw InvalidPatch(where + " is no list");
+    if (!json_is_array(list)) throw Invalid(where + " is no list");
     visit(key, where, list);
   }
 }
@@ -45,7 +43,7 @@
   std::size_t index = 0;
   const json_t* name = nullptr;
   json_array_foreach(list, index, name) {
-    if (!json_is_string(name)) throw InvalidPatch(where + "[" + std::to_string(index) + "] is no name");
+    if (!json_is_string(name)) throw Invalid(where + "[" + std::to_string(index) + "] is no name");
     names.insert(json_string_value(name));
   }
   return names;
@@ -57,24 +55,24 @@
   const json_t* item = nullptr;
   json_array_foreach(list, index, item) {
     const std::string name = NameOf(item, where, index);
-    if (!names.insert(name).second) throw InvalidPatch(where + " names " + name + " twice");
+    if (!names.insert(name).second) throw Invalid(where + " names " + name + " twice");
   }
   return names;
 }
 
 void CheckForm(const json_t* root) {
-  if (!json_is_object(root)) throw InvalidPatch("the patch is no object");
+  if (!json_is_object(root)) throw Invalid("the patch is no object");
   const char* key = nullptr;
   const json_t* value = nullptr;
   json_object_foreach(const_cast<json_t*>(root), key, value) {
     const std::string_view name = key;
     if (name != "version" && name != "upsert" && name != "remove") {
-      throw InvalidPatch("a patch has no " + std::string(name));
+      throw Invalid("a patch has no " + std::string(name));
     }
   }
   const json_t* version = json_object_get(root, "version");
   if (!json_is_integer(version) || json_integer_value(version) < 1) {
-    throw InvalidPatch("version is no whole number above 0");
+    throw Invalid("version is no whole number above 0");
   }
   ForEachList(root, "remove",
               [](const char*, const std::string& where, json_t* list) { NamesToRemove(list, where); });
@@ -89,7 +87,7 @@
     json_object_set_new(configuration, key, json_array());
     list = json_object_get(configuration, key);
   }
-  if (!json_is_array(list)) throw InvalidPatch(std::string("the configuration's ") + key + " are no list");
+  if (!json_is_array(list)) throw Invalid(std::string("the configuration's ") + key + " are no list");
   return list;
 }
 
@@ -130,6 +128,82 @@
   return text ? text.get() : std::string();
 }
 
+// Replaces the items of the same name, adds the others.
+template <typename Item>
+void UpsertTyped(std::vector<Item>& items, std::vector<Item> changed) {
+  std::map<std::string, std::size_t, std::less<>> places;
+  for (std::size_t index = 0; index < items.size(); ++index) places.emplace(items[index].name, index);
+  for (Item& item : changed) {
+    const auto place = places.find(item.name);
+    if (place == places.end()) {
+      items.push_back(std::move(item));
+    } else {
+      items[place->second] = std::move(item);
+    }
+  }
+}
+
+template <typename Item, typename Read>
+void ApplyTyped(const json_t* patch, const char* key, std::vector<Item>& items, Read read) {
+  ForEachList(patch, "remove", [&](std::string_view list_key, const std::string& where, json_t* list) {
+    if (list_key != key) return;
+    const Names names = NamesToRemove(list, where);
+    std::erase_if(items, [&names](const Item& item) { return names.contains(item.name); });
+  });
+  ForEachList(patch, "upsert", [&](std::string_view list_key, const std::string& where, json_t* list) {
+    if (list_key != key) return;
+    std::vector<Item> changed;
+    for (std::size_t index = 0; index < json_array_size(list); ++index) {
+      changed.push_back(read(json_array_get(list, index), where + "[" + std::to_string(index) + "]"));
+    }
+    UpsertTyped(items, std::move(changed));
+  });
+}
+
+// Items by name; nothing where one has no name or shares it.
+std::optional<std::map<std::string, json_t*>> ItemsByName(const json_t* list) {
+  std::map<std::string, json_t*> items;
+  std::size_t index = 0;
+  json_t* item = nullptr;
+  json_array_foreach(list, index, item) {
+    const json_t* name = json_object_get(item, "name");
+    if (!json_is_string(name) || !items.emplace(json_string_value(name), item).second) return std::nullopt;
+  }
+  return items;
+}
+
+// Adds to `upsert` and `remove` what leads from the one list to the other; false if that can't be told.
+bool DiffList(const char* key, const json_t* from, const json_t* to, json_t* upsert, json_t* remove) {
+  const auto before = ItemsByName(from);
+  const auto after = ItemsByName(to);
+  if (!before || !after) return false;
+  json_t* changed = json_array();
+  json_t* gone = json_array();
+  for (const auto& [name, item] : *after) {
+    const auto old = before->find(name);
+    if (old == before->end() || !json_equal(old->second, item)) json_array_append(changed, item);
+  }
+  for (const auto& [name, item] : *before) {
+    if (!after->contains(name)) json_array_append_new(gone, json_string(name.c_str()));
+  }
+  json_object_set_new(upsert, key, changed);
+  json_object_set_new(remove, key, gone);
+  return true;
+}
+
+constexpr const char* kRoutes = "routes";
+constexpr const char* kServices = "services";
+
+// Whether all but the version and the lists of named items is the same.
+bool RestIsEqual(json_t* from, json_t* to) {
+  const json::Owned first(json_copy(from));
+  const json::Owned second(json_copy(to));
+  for (json_t* root : {first.get(), second.get()}) {
+    for (const char* key : {"version", kRoutes, kServices}) json_object_del(root, key);
+  }
+  return json_equal(first.get(), second.get()) != 0;
+}
+
 }  // namespace
 
 Patch::Result Patch::Parse(std::string_view text) {
@@ -138,7 +212,7 @@
   if (!root) return {std::nullopt, "line " + std::to_string(error.line) + ": " + error.text};
   try {
     CheckForm(root.get());
-  } catch (const InvalidPatch& invalid) {
+  } catch (const Invalid& invalid) {
     return {std::nullopt, invalid.what()};
   }
   const auto version = static_cast<std::uint64_t>(json_integer_value(json_object_get(root.get(), "version")));
@@ -155,7 +229,7 @@
     ForEachList(root_.get(), "upsert", [&](const char* key, const std::string& where, json_t* list) {
       Upsert(ListOf(next.get(), key), list, where);
     });
-  } catch (const InvalidPatch& invalid) {
+  } catch (const Invalid& invalid) {
     return {"", invalid.what()};
   }
   json_object_set_new(next.get(), "version", json_integer(static_cast<json_int_t>(version_)));
@@ -165,4 +239,34 @@
   return {std::move(text), ""};
 }
 
+ParseResult Patch::ApplyTo(const Configuration& configuration) const {
+  auto next = std::make_shared<Configuration>(configuration);
+  next->version = version_;
+  try {
+    ApplyTyped(root_.get(), kServices, next->services, ReadService);
+    ApplyTyped(root_.get(), kRoutes, next->routes, ReadRoute);
+    CheckWhole(*next);
+  } catch (const Invalid& invalid) {
+    return {nullptr, invalid.what()};
+  }
+  return {std::move(next), ""};
+}
+
+std::optional<std::string> PatchBetween(std::string_view from, std::string_view to) {
+  const json::Owned before = json::Load(from);
+  const json::Owned after = json::Load(to);
+  if (!before || !after || !RestIsEqual(before.get(), after.get())) return std::nullopt;
+  const json::Owned patch(json_object());
+  json_object_set(patch.get(), "version", json_object_get(after.get(), "version"));
+  json_t* upsert = json_object();
+  json_object_set_new(patch.get(), "upsert", upsert);
+  json_t* remove = json_object();
+  json_object_set_new(patch.get(), "remove", remove);
+  for (const char* key : {kServices, kRoutes}) {
+    const json_t* old = json_object_get(before.get(), key);
+    if (!DiffList(key, old, json_object_get(after.get(), key), upsert, remove)) return std::nullopt;
+  }
+  return Dump(patch.get());
+}
+
 }  // namespace kestrelline::configuration
--- a/src/configuration/patch.h
+++ b/src/configuration/patch.h
@@ -32,6 +32,8 @@
   // Removes first, then adds: an item that is named in both is replaced. A name to remove that is not there
   // changes nothing.
   PatchedText ApplyTo(std::string_view configuration) const;
+  // The same of a configuration that is read already; its text is not made.
+  ParseResult ApplyTo(const Configuration& configuration) const;
 
  private:
   Patch(json::Owned root, std::uint64_t version) : root_(std::move(root)), version_(version) {}
@@ -46,6 +48,10 @@
   std::string error;
 };
 
+// The patch that makes `to` of `from`, but for the order of items. Nothing where more than named items
+// differs or their names don't tell them apart.
+std::optional<std::string> PatchBetween(std::string_view from, std::string_view to);
+
 }  // namespace kestrelline::configuration
 
 #endif  // KESTRELLINE_CONFIGURATION_PATCH_H_
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "configuration/patch.h"
 #include "control_plane/stage_orders.h"
 
 namespace kestrelline::control_plane {
@@ -315,12 +316,31 @@
   });
 }
 
-distribution::Published ControlNode::CurrentlyPublished() const {
+// What leads to the newest configuration from the one that was published before it.
+void ControlNode::NoteConfiguration() {
+  const wire::RecordPtr record = replica_.committed();
+  const wire::RecordPtr before = std::exchange(newest_in_history_, record);
+  if (!record || !before || record->version == before->version) return;
+  auto patch = before->version < record->version
+                   ? configuration::PatchBetween(before->configuration, record->configuration)
+                   : std::nullopt;
+  if (patch) {
+    configurations_.Add(before->version, record->version, std::move(*patch));
+  } else {
+    configurations_.Clear();
+  }
+}
+
+distribution::Published ControlNode::CurrentlyPublished() {
   const Time now = Now();
+  NoteConfiguration();
   distribution::Published published;
   if (const wire::RecordPtr record = replica_.committed(); record && !record->configuration.empty()) {
     published.version = record->version;
-    published.configuration = std::shared_ptr<const std::string>(record, &record->configuration);
+    published.configuration = [record] {
+      return std::shared_ptr<const std::string>(record, &record->configuration);
+    };
+    published.configurations = &configurations_;
   }
   if (const auto certain = replica_.certain_at(now)) published.age = now - *certain;
   published.instances = instances_;
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -71,7 +71,8 @@
   void PublishIfChanged();
   void PublishChange();
   void Publish();
-  distribution::Published CurrentlyPublished() const;
+  void NoteConfiguration();
+  distribution::Published CurrentlyPublished();
   http::Awaitable<void> ReadListWhileLeading();
   void MoveStages();
   http::Awaitable<void> Order(StageOrder order);
@@ -101,6 +102,8 @@
   wire::InstanceListPtr instances_;
   Time instances_read_{0};
   distribution::ListHistory lists_;
+  distribution::ConfigurationHistory configurations_;
+  wire::RecordPtr newest_in_history_;      // the record that `configurations_` leads to
   std::uint64_t revision_to_members_ = 0;  // of the list that they were told last
   wire::RecordPtr published_record_;
   wire::InstanceListPtr published_instances_;
--- a/src/control_plane/replica_types.h
+++ b/src/control_plane/replica_types.h
@@ -57,8 +57,8 @@
   std::uint64_t builds_on = 0;
   wire::Digest digest;
   std::string configuration;
-  // It could not be applied, since another version than `builds_on` was in place: it is acknowledged if it was
-  // taken before, and never taken anew.
+  // It could not be applied, since another version than `builds_on` was in place: it is acknowledged if it
+  // was taken before, and never taken anew.
   bool only_if_known = false;
 };
 
--- a/src/control_sim/world_traffic.cpp
+++ b/src/control_sim/world_traffic.cpp
@@ -147,8 +147,9 @@
   distribution::Published published;
   if (machine.published && !machine.published->configuration.empty()) {
     published.version = machine.published->version;
-    published.configuration =
-        std::shared_ptr<const std::string>(machine.published, &machine.published->configuration);
+    published.configuration = [record = machine.published] {
+      return std::shared_ptr<const std::string>(record, &record->configuration);
+    };
   }
   if (const auto certain = machine.replica->certain_at(local)) published.age = local - *certain;
   published.control_peers = machine.replica->KnownNodes();
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -57,7 +57,7 @@
       subscriber_(
           io, settings_,
           [this] {
-            return Subscriber::Have{gate_.known_version(), list_.told_revision()};
+            return Subscriber::Have{configuration_.told_version(), list_.told_revision()};
           },
           [this](const wire::Publication& publication,
                  std::optional<steady_clock::time_point> composed_after) {
@@ -213,12 +213,13 @@
   }
 }
 
-distribution::Published EdgeNode::CurrentlyPublished() const {
+distribution::Published EdgeNode::CurrentlyPublished() {
   const auto since = std::chrono::duration_cast<milliseconds>(
       steady_clock::now() - told_after_.value_or(steady_clock::time_point()));
   distribution::Published published;
-  published.version = gate_.version();
-  published.configuration = configuration_;
+  published.version = configuration_.version_in_force();
+  if (published.version > 0) published.configuration = [this] { return configuration_.Text(); };
+  published.configurations = &configuration_.history();
   if (told_.certain && told_after_) published.age = milliseconds(told_.age_ms) + since;
   published.instances = list_.told();
   published.lists = &list_.history();
@@ -254,6 +255,7 @@
                     std::optional<steady_clock::time_point> composed_after) {
   told_ = publication;
   told_.configuration.clear();
+  told_.configuration_patches.clear();
   told_.instances = nullptr;
   told_.list_changes.reset();
   told_after_ = composed_after;
@@ -264,21 +266,19 @@
     state_.backends.Update(*list);
     know_backends_ = true;
   }
-  if (list_.TakeLacksBase()) return subscriber_.Renew();
+  const bool lacks_list = list_.TakeLacksBase();
+  if (configuration_.lacks_base() || lacks_list) return subscriber_.Renew();
   PassOn();
 }
 
 void EdgeNode::TakeConfiguration(const wire::Publication& publication) {
-  const auto configuration = gate_.Take(publication, subscriber_.fresh());
-  if (!configuration) return;
-  const configuration::ParseResult parsed = configuration::Parse(*configuration);
-  if (!parsed.configuration) {
-    spdlog::error("configuration version={} refused: {}", gate_.version(), parsed.error);
-    return;
+  const auto next = configuration_.Take(publication, subscriber_.fresh());
+  if (!configuration_.error().empty()) {
+    spdlog::error("configuration version={} refused: {}", publication.version, configuration_.error());
   }
-  state_.routes = std::make_shared<const configuration::RouteTable>(parsed.configuration);
-  configuration_ = configuration;
-  spdlog::info("configuration version={} routes={}", gate_.version(), parsed.configuration->routes.size());
+  if (!next) return;
+  state_.routes = std::make_shared<const configuration::RouteTable>(next);
+  spdlog::info("configuration version={} routes={}", next->version, next->routes.size());
 }
 
 void EdgeNode::Drain(std::function<void()> done) {
--- a/src/data_plane/edge_node.h
+++ b/src/data_plane/edge_node.h
@@ -12,6 +12,7 @@
 #include <system_error>
 
 #include "data_plane/client_connection.h"
+#include "data_plane/configuration_follower.h"
 #include "data_plane/edge_state.h"
 #include "data_plane/list_source.h"
 #include "data_plane/subscriber.h"
@@ -53,7 +54,7 @@
   void Take(const wire::Publication& publication, std::optional<steady_clock::time_point> composed_after);
   void TakeConfiguration(const wire::Publication& publication);
   void OnChild(mesh::Connection& connection, wire::Message message);
-  distribution::Published CurrentlyPublished() const;
+  distribution::Published CurrentlyPublished();
   void PassOn();
   Awaitable<void> ReadListIfForgotten();
   bool Ready() const;
@@ -76,8 +77,7 @@
   steady_clock::time_point started_;
   steady_clock::time_point last_tick_ = steady_clock::now();
   steady_clock::time_point tick_before_last_ = last_tick_;
-  ConfigurationGate gate_;
-  std::shared_ptr<const std::string> configuration_;
+  ConfigurationFollower configuration_;
   wire::Publication told_;                              // the latest, without its contents
   std::optional<steady_clock::time_point> told_after_;  // when it can have been composed at the earliest
   ListSource list_;
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -91,7 +91,8 @@
   connection_->Start();
   const Have have = have_();
   SendNow(wire::Subscribe{have.version, have.instances_revision, settings_.zone,
-                          subscription_.FirstProbe(Now()), /*takes_list_changes=*/true});
+                          subscription_.FirstProbe(Now()), /*takes_list_changes=*/true,
+                          /*takes_configuration_patches=*/true});
 }
 
 void Subscriber::SendNow(const wire::Body& body) {
--- a/src/data_plane/subscription.cpp
+++ b/src/data_plane/subscription.cpp
@@ -68,18 +68,21 @@
   if (peers_.size() > kMostPeers) peers_.resize(kMostPeers);
 }
 
-std::shared_ptr<const std::string> ConfigurationGate::Take(const wire::Publication& publication, bool fresh) {
-  const bool newer = publication.version > known_version() || !Enforced(Safeguard::kNeverBack);
-  if (!publication.configuration.empty() && newer) {
-    told_version_ = publication.version;
-    told_ = std::make_shared<const std::string>(publication.configuration);
+bool ConfigurationGate::IsNews(std::uint64_t version) const {
+  return version > known_version() || !Enforced(Safeguard::kNeverBack);
+}
+
+bool ConfigurationGate::Take(std::uint64_t version, bool contents, bool fresh) {
+  if (contents && IsNews(version)) {
+    told_version_ = version;
+    waits_ = true;
   }
-  if (!told_) return nullptr;
-  const bool proven =
-      (fresh && publication.version == told_version_) || !Enforced(Safeguard::kProofBeforeReady);
-  if (version_ == 0 && !proven) return nullptr;
+  if (!waits_) return false;
+  const bool proven = (fresh && version == told_version_) || !Enforced(Safeguard::kProofBeforeReady);
+  if (version_ == 0 && !proven) return false;
   version_ = told_version_;
-  return std::exchange(told_, nullptr);
+  waits_ = false;
+  return true;
 }
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/subscription.h
+++ b/src/data_plane/subscription.h
@@ -81,9 +81,12 @@
 // proxy's life only once it is proven to be recent. Until then the proxy is not ready.
 class ConfigurationGate {
  public:
-  // Takes what was told; `fresh` tells whether that is proven to be recent. Returns the configuration to put
-  // in force now, or null. One that is not proven yet is kept: it is not told twice.
-  std::shared_ptr<const std::string> Take(const wire::Publication& publication, bool fresh);
+  // Whether a version is newer than all that is here.
+  bool IsNews(std::uint64_t version) const;
+  // Takes what was told: the sender's version, and whether its contents came; `fresh` tells whether that is
+  // proven to be recent. True if the newest contents are to be put in force now. Contents that are not proven
+  // yet are kept: they are not told twice.
+  bool Take(std::uint64_t version, bool contents, bool fresh);
   // Of the configuration in force; 0 before the first.
   std::uint64_t version() const { return version_; }
   // The newest version whose contents are here, in force or not: what need not be told again.
@@ -92,7 +95,7 @@
  private:
   std::uint64_t version_ = 0;
   std::uint64_t told_version_ = 0;
-  std::shared_ptr<const std::string> told_;  // not in force yet
+  bool waits_ = false;  // the contents told last are not in force yet
 };
 
 }  // namespace kestrelline::data_plane
--- a/src/distribution/publication.cpp
+++ b/src/distribution/publication.cpp
@@ -2,8 +2,28 @@
 #include "distribution/publication.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kestrelline::distribution {
+namespace {
+
+// More of patches is no less work for the receiver than the whole.
+constexpr std::size_t kMostPatchBytes = 64 * 1024;
+
+void AddConfiguration(wire::Publication& publication, const SubscriberState& subscriber,
+                      const Published& now) {
+  if (!now.configuration) return;
+  if (subscriber.takes_configuration_patches && now.configurations) {
+    if (auto patches = now.configurations->Since(subscriber.version, kMostPatchBytes)) {
+      publication.configuration_base = subscriber.version;
+      publication.configuration_patches = std::move(*patches);
+      return;
+    }
+  }
+  if (const auto text = now.configuration()) publication.configuration = *text;
+}
+
+}  // namespace
 
 wire::Publication Compose(const SubscriberState& subscriber, const Published& now) {
   wire::Publication publication;
@@ -11,7 +31,7 @@
   publication.age_ms = static_cast<std::uint32_t>(now.age.value_or(std::chrono::milliseconds(0)).count());
   publication.version = now.version;
   publication.hops = now.hops;
-  if (now.configuration && now.version > subscriber.version) publication.configuration = *now.configuration;
+  if (now.version > subscriber.version) AddConfiguration(publication, subscriber, now);
   if (now.instances) {
     publication.instances_revision = now.instances->revision;
     publication.instances_age_ms = static_cast<std::uint32_t>(now.instances_age.count());
--- a/src/distribution/publication.h
+++ b/src/distribution/publication.h
@@ -7,11 +7,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "distribution/configuration_history.h"
 #include "distribution/list_history.h"
 #include "wire/messages.h"
 
@@ -19,9 +21,11 @@
 
 // What a publication is made from at one moment.
 struct Published {
-  std::uint64_t version = 0;                         // 0: there is no configuration yet
-  std::shared_ptr<const std::string> configuration;  // as the operator sent it
-  std::optional<std::chrono::milliseconds> age;      // since it was known to be the newest; nothing if never
+  std::uint64_t version = 0;  // 0: there is no configuration yet
+  // Its text, as the operator sent it or equal to that; made only where a subscriber lacks it.
+  std::function<std::shared_ptr<const std::string>()> configuration;
+  const ConfigurationHistory* configurations = nullptr;  // that end with `version`; null: there is none
+  std::optional<std::chrono::milliseconds> age;  // since it was known to be the newest; nothing if never
   wire::InstanceListPtr instances;
   const ListHistory* lists = nullptr;  // that end with `instances`; null: there is none
   std::chrono::milliseconds instances_age{0};
@@ -36,6 +40,7 @@
   std::uint64_t instances_revision = 0;
   std::uint64_t probe = 0;
   bool takes_list_changes = false;
+  bool takes_configuration_patches = false;
 };
 
 // Contents go only to those who lack them.
--- a/src/distribution/publisher.cpp
+++ b/src/distribution/publisher.cpp
@@ -15,11 +15,11 @@
     return false;
   }
   Subscriber& subscriber = subscribers_[&connection];
-  subscriber = {
-      connection.weak_from_this(),
-      proxy,
-      subscribe.zone,
-      {subscribe.version, subscribe.instances_revision, subscribe.probe, subscribe.takes_list_changes}};
+  subscriber = {connection.weak_from_this(),
+                proxy,
+                subscribe.zone,
+                {subscribe.version, subscribe.instances_revision, subscribe.probe,
+                 subscribe.takes_list_changes, subscribe.takes_configuration_patches}};
   const mesh::Frame echo = mesh_.Encode(wire::Echo{subscribe.probe});
   const mesh::Frame publication = mesh_.Encode(Compose(subscriber.state, now));
   Advance(subscriber.state, now);
@@ -50,11 +50,12 @@
     mesh::Frame publication;
   };
   // Most subscribers lack the same: each distinct publication is encoded once.
-  std::map<std::tuple<std::uint64_t, std::uint64_t, bool>, mesh::Frame> frames;
+  std::map<std::tuple<std::uint64_t, std::uint64_t, bool, bool>, mesh::Frame> frames;
   std::vector<Outgoing> outgoing;
   for (auto& [key, subscriber] : subscribers_) {
     SubscriberState& state = subscriber.state;
-    mesh::Frame& frame = frames[{state.version, state.instances_revision, state.takes_list_changes}];
+    mesh::Frame& frame = frames[{state.version, state.instances_revision, state.takes_list_changes,
+                                 state.takes_configuration_patches}];
     if (!frame) frame = mesh_.Encode(Compose(state, now));
     outgoing.push_back({subscriber.connection.lock(), mesh_.Encode(wire::Echo{state.probe}), frame});
     Advance(state, now);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -330,6 +330,7 @@
   raw.subscribe.zone = Writing(subscribe.zone);
   raw.subscribe.probe = subscribe.probe;
   raw.subscribe.takes_list_changes = subscribe.takes_list_changes;
+  raw.subscribe.takes_configuration_patches = subscribe.takes_configuration_patches;
 }
 void Put(RawEnvelope& raw, const Publication& publication) {
   raw.has_publication = true;
@@ -346,6 +347,8 @@
   raw.publication.hops = publication.hops;
   raw.publication.has_list_changes = publication.list_changes.has_value();
   if (publication.list_changes) raw.publication.list_changes = Raw(*publication.list_changes);
+  raw.publication.configuration_base = publication.configuration_base;
+  raw.publication.configuration_patches = Writing(publication.configuration_patches);
 }
 
 void Put(RawEnvelope& raw, const LoadReport& report) {
@@ -427,6 +430,7 @@
   publication.instances_revision = raw.instances_revision;
   publication.instances_age_ms = raw.instances_age_ms;
   publication.hops = raw.hops;
+  publication.configuration_base = raw.configuration_base;
   if (raw.has_list_changes) {
     Finish(raw.list_changes, parts.published_changes);
     publication.list_changes = std::move(parts.published_changes);
@@ -483,6 +487,7 @@
     parts.subscribe.instances_revision = raw.subscribe.instances_revision;
     parts.subscribe.probe = raw.subscribe.probe;
     parts.subscribe.takes_list_changes = raw.subscribe.takes_list_changes;
+    parts.subscribe.takes_configuration_patches = raw.subscribe.takes_configuration_patches;
     return std::move(parts.subscribe);
   }
   if (raw.has_publication) return FinishPublication(raw.publication, parts);
@@ -546,6 +551,7 @@
   raw.subscribe.zone = Reading(parts.subscribe.zone);
   raw.publication.configuration = Reading(parts.publication.configuration);
   raw.publication.control_peers = Reading(parts.publication.control_peers);
+  raw.publication.configuration_patches = Reading(parts.publication.configuration_patches);
   PrepareToRead(raw.publication.instances, parts.published_instances);
   PrepareToRead(raw.publication.list_changes, parts.published_changes);
   PrepareToRead(raw.list_changes, parts.list_changes);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -139,6 +139,7 @@
   std::string zone;
   std::uint64_t probe = 0;  // the first one, echoed before the first publication
   bool takes_list_changes = false;
+  bool takes_configuration_patches = false;
 };
 // Asks for an echo of a value that means something to its sender alone (freshness/probe_clock.h).
 struct Probe {
@@ -160,6 +161,9 @@
   std::uint32_t instances_age_ms = 0;       // since that list was read
   std::uint32_t hops = 0;                   // of proxies between a member and the receiver
   std::optional<ListChanges> list_changes;  // in place of `instances`
+  // In place of `configuration`: the version that the receiver has, and the patches that lead from it on.
+  std::uint64_t configuration_base = 0;
+  std::vector<std::string> configuration_patches;
 };
 
 // Work that proxies have sent to a backend and that is not done yet.
--- a/tests/control_sim/safeguards_test.cpp
+++ b/tests/control_sim/safeguards_test.cpp
@@ -251,13 +251,8 @@
 TEST(Safeguards, AProxyNeverGoesBack) {
   const auto scenario = [](std::uint64_t) -> std::string {
     data_plane::ConfigurationGate gate;
-    wire::Publication publication;
-    publication.version = 7;
-    publication.configuration = "seven";
-    if (gate.Take(publication, true) == nullptr) return "seven was not put in force";
-    publication.version = 5;
-    publication.configuration = "five";
-    return gate.Take(publication, true) == nullptr && gate.version() == 7 ? "" : "went back";
+    if (!gate.Take(7, /*contents=*/true, /*fresh=*/true)) return "seven was not put in force";
+    return !gate.Take(5, /*contents=*/true, /*fresh=*/true) && gate.version() == 7 ? "" : "went back";
   };
   MustNeed(Safeguard::kNeverBack, scenario, 1);
 }
