Reading figures are learned from own answers; long internal messages are compressed

Change: recursive least squares over fixed time, tokens and pairs of each reading apart; zlib from 4 KB on.

--- a/src/data_plane/edge_state.h
+++ b/src/data_plane/edge_state.h
@@ -37,7 +37,7 @@
         settings(node_settings),
         pool(context),
         backends(seed),
-        placement(backends, node_settings.zone, EngineModel{}, seed + 1),
+        placement(backends, node_settings.zone, PlacementCosts{}, seed + 1),
         budget({node_settings.bounds.retry_budget_ratio, node_settings.bounds.min_retries,
                 brackenspoke::Duration(static_cast<double>(node_settings.bounds.budget_window.count()))}),
         random(seed + 2),
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -118,7 +118,8 @@
 }
 
 Awaitable<std::optional<RequestFlow::ReadPrompt>> RequestFlow::Prefill(Pick pick) {
-  const ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, DecisionTime());
+  const TimePoint began = DecisionTime();
+  const ReadingUnderWay reading(pick.backend, prompt_, pick.work_ms, began);
   Attempt attempt(state_, pick.backend);
   const auto until = std::min(give_up_at_, In(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
   const std::string fields = "Serving-Stage: prefill\r\n" + PriorityField();
@@ -136,6 +137,7 @@
     ++may_have_run_;  // whatever this was, it was no reading
     co_return std::nullopt;
   }
+  state_.placement.NoteReading(service_, prompt_, pick, (DecisionTime() - began).count());
   co_return ReadPrompt{pick.backend, std::move(*handle)};
 }
 
--- a/src/data_plane/placement.cpp
+++ b/src/data_plane/placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "hashing/mix.h"
 
@@ -73,22 +74,17 @@
 }
 
 Placement::Reading Placement::ReadingAt(const Backend& backend, const Prompt& prompt, bool preferred,
-                                        double pace, TimePoint now) const {
-  constexpr double kMillion = 1e6;
-  const TimePoint since = now - Duration(model_.parts_kept_ms);
+                                        const ReadingFigures& figures, TimePoint now) const {
+  const TimePoint since = now - Duration(costs_.parts_kept_ms);
   std::int64_t cached = 0;
   std::int64_t again = 0;
   for (std::size_t i = 0; i < prompt.SharedParts(); ++i) {
     const bool kept = again == 0 && (preferred || backend.parts.Has(prompt.parts[i].chain, since));
     (kept ? cached : again) += prompt.parts[i].tokens;
   }
-  const auto whole = static_cast<double>(prompt.tokens);
-  const auto kept = static_cast<double>(cached);
-  const double pairs = (whole * whole - kept * kept) / 2 / kMillion;
-  const double pace_share = pace / model_.prefill_tokens_per_ms;
   Reading reading;
-  reading.work_ms = (whole - kept) / pace + pairs * model_.pair_ms_per_million / pace_share;
-  reading.again_ms = static_cast<double>(again) * model_.again_ms_per_token;
+  reading.work_ms = figures.WorkMs(static_cast<double>(prompt.tokens), static_cast<double>(cached));
+  reading.again_ms = static_cast<double>(again) * costs_.again_ms_per_token;
   return reading;
 }
 
@@ -97,7 +93,7 @@
   return Least(table_.Find(service, Stage::kAny), excluded, now, [&](const BackendPtr& backend) {
     const double slots = std::max(1u, backend->info.slots);
     const double zone = backend->info.zone == zone_ ? 0 : kOtherZone;
-    return Pick{backend, Running(*backend, now) / slots + zone, 0, 0};
+    return Pick{backend, Running(*backend, now) / slots + zone, 0, 0, 0};
   });
 }
 
@@ -105,12 +101,13 @@
                             TimePoint now) {
   const Group* group = table_.Find(service, Stage::kPrefill);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
+  const ReadingFigures& figures = FiguresOf(service);
   return Least(group, excluded, now, [&](const BackendPtr& backend) {
-    const Reading reading =
-        ReadingAt(*backend, prompt, backend.get() == preferred, model_.prefill_tokens_per_ms, now);
-    const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    const double ready = WaitMs(*backend, now) + reading.work_ms + zone;
-    return Pick{backend, ready + reading.again_ms + model_.hand_over_ms, reading.work_ms, ready};
+    const Reading reading = ReadingAt(*backend, prompt, backend.get() == preferred, figures, now);
+    const double zone = backend->info.zone == zone_ ? 0 : costs_.other_zone_ms;
+    const double wait = WaitMs(*backend, now) + zone;
+    const double ready = wait + figures.fixed_ms + reading.work_ms;
+    return Pick{backend, ready + reading.again_ms + costs_.hand_over_ms, reading.work_ms, wait, ready};
   });
 }
 
@@ -118,11 +115,11 @@
                            TimePoint now) {
   return Least(table_.Find(service, Stage::kDecode), excluded, now, [&](const BackendPtr& backend) {
     const double running = Running(*backend, now);
-    const double full = running >= backend->info.slots ? model_.full_ms : 0;
-    const double move = backend->info.zone == source.info.zone ? 0 : model_.move_other_zone_ms;
-    const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    const double ready = WaitMs(*backend, now) * 0.5 + running * model_.running_ms + full + move + zone;
-    return Pick{backend, ready, 0, ready};
+    const double full = running >= backend->info.slots ? costs_.full_ms : 0;
+    const double move = backend->info.zone == source.info.zone ? 0 : costs_.move_other_zone_ms;
+    const double zone = backend->info.zone == zone_ ? 0 : costs_.other_zone_ms;
+    const double ready = WaitMs(*backend, now) * 0.5 + running * costs_.running_ms + full + move + zone;
+    return Pick{backend, ready, 0, 0, ready};
   });
 }
 
@@ -131,19 +128,27 @@
   const bool split = table_.IsSplit(service);
   const Group* group = table_.Find(service, split ? Stage::kDecode : Stage::kAny);
   const Backend* preferred = group ? Preferred(*group, prompt) : nullptr;
-  const double pace = model_.prefill_tokens_per_ms * (split ? model_.decode_share : 1);
+  const ReadingFigures& figures = FiguresOf(service);
+  const double share = split ? costs_.decode_share : 1;
   return Least(group, excluded, now, [&](const BackendPtr& backend) {
-    const Reading reading = ReadingAt(*backend, prompt, !split && backend.get() == preferred, pace, now);
+    const Reading reading = ReadingAt(*backend, prompt, !split && backend.get() == preferred, figures, now);
+    const double work = reading.work_ms / share;
     const double running = Running(*backend, now);
-    const double full = running >= backend->info.slots ? model_.full_ms : 0;
-    const double zone = backend->info.zone == zone_ ? 0 : model_.other_zone_ms;
-    const double ready = WaitMs(*backend, now) + running * model_.running_ms + reading.work_ms + full + zone;
+    const double full = running >= backend->info.slots ? costs_.full_ms : 0;
+    const double zone = backend->info.zone == zone_ ? 0 : costs_.other_zone_ms;
+    const double wait = WaitMs(*backend, now) + running * costs_.running_ms + full + zone;
+    const double ready = wait + figures.fixed_ms + work;
     // While it reads, the streams that it generates wait.
-    const double held_up = split ? running * reading.work_ms * model_.stream_share : 0;
-    return Pick{backend, ready + reading.again_ms + held_up, reading.work_ms, ready};
+    const double held_up = split ? running * work * costs_.stream_share : 0;
+    return Pick{backend, ready + reading.again_ms + held_up, work, wait, ready};
   });
 }
 
+void Placement::NoteReading(const std::string& service, const Prompt& prompt, const Pick& pick,
+                            double elapsed_ms) {
+  estimates_[service].Observe(prompt, pick.wait_ms, elapsed_ms);
+}
+
 ReadingUnderWay::ReadingUnderWay(BackendPtr backend, const Prompt& prompt, double work_ms, TimePoint now)
     : backend_(std::move(backend)), work_ms_(work_ms) {
   backend_->reading_ms += work_ms_;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -7,6 +7,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "wire/compression.h"
 #include "wire/fleet.pb.h"
 
 namespace kestrelline::wire {
@@ -523,6 +524,10 @@
   raw.sender = Writing(message.sender);
   std::visit([&raw](const auto& body) { Put(raw, body); }, message.body);
   std::string frame = EncodeRaw(kestrelline_wire_Envelope_fields, raw, kLengthBytes);
+  if (frame.size() >= kCompressedFrom) {
+    const auto compressed = Compress(std::string_view(frame).substr(kLengthBytes));
+    if (compressed) frame.replace(kLengthBytes, std::string::npos, *compressed);
+  }
   const std::size_t length = frame.size() - kLengthBytes;
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
     frame[i] = static_cast<char>((length >> (8 * (kLengthBytes - 1 - i))) & 0xff);
@@ -541,6 +546,11 @@
 }
 
 std::optional<Message> DecodeEnvelope(std::string_view bytes) {
+  if (IsCompressed(bytes)) {
+    const auto envelope = Decompress(bytes, kLongestEnvelope);
+    if (!envelope || IsCompressed(*envelope)) return std::nullopt;
+    return DecodeEnvelope(*envelope);
+  }
   Parts parts;
   RawEnvelope raw = kestrelline_wire_Envelope_init_zero;
   raw.sender = Reading(parts.sender);
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -203,7 +203,7 @@
  protected:
   void Use(const wire::InstanceList& list) { table_.Update(list); }
   BackendTable table_{1};
-  Placement placement_{table_, "near", EngineModel{}, 2};
+  Placement placement_{table_, "near", PlacementCosts{}, 2};
 };
 
 TEST_F(PlacementTest, TheLeastLoadedInTheZoneAndTiesAtRandom) {
@@ -237,7 +237,7 @@
   Use(Listed(ids, true));
   BackendTable other_table(9);
   other_table.Update(Listed(ids, true));
-  Placement other(other_table, "far", EngineModel{}, 7);
+  Placement other(other_table, "far", PlacementCosts{}, 7);
   std::map<std::string, int> readers;
   for (int i = 0; i < 64; ++i) {
     const std::string shared = std::to_string(i) + ":5000,";
@@ -256,7 +256,7 @@
   const Pick first = placement_.PickPrefill("s", prompt, {}, At(0));
   first.backend->reading_ms = 200;
   EXPECT_EQ(placement_.PickPrefill("s", prompt, {}, At(0)).backend, first.backend);
-  first.backend->reading_ms = 1000 + EngineModel{}.again_ms_per_token * 5000;
+  first.backend->reading_ms = 1000 + PlacementCosts{}.again_ms_per_token * 5000;
   EXPECT_NE(placement_.PickPrefill("s", prompt, {}, At(0)).backend, first.backend);
 }
 
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -5,6 +5,8 @@
 
 #include <random>
 
+#include "wire/compression.h"
+
 namespace kestrelline::wire {
 namespace {
 
@@ -148,17 +150,44 @@
   EXPECT_FALSE(DecodeLength("abc"));
 }
 
+TEST(Codec, LongEnvelopesAreCompressed) {
+  const Body body = VoteReply{4, true, true, 9, std::make_shared<Record>(SampleRecord())};
+  const std::string frame = EncodeFrame({"10.0.0.1", body});
+  EXPECT_TRUE(IsCompressed(std::string_view(frame).substr(kLengthBytes)));
+  EXPECT_LT(frame.size(), SampleRecord().configuration.size() / 10);
+  ExpectSample(*std::get<VoteReply>(Again(body).body).record);
+  EXPECT_FALSE(IsCompressed(EncodeFrame({"10.0.0.1", LearnRequest{8, false}}).substr(kLengthBytes)));
+}
+
+TEST(Codec, DamagedCompressedEnvelopesAreRefused) {
+  const Body body = VoteReply{4, true, true, 9, std::make_shared<Record>(SampleRecord())};
+  const std::string envelope = EncodeFrame({"10.0.0.1", body}).substr(kLengthBytes);
+  EXPECT_FALSE(DecodeEnvelope(envelope.substr(0, envelope.size() - 1)));
+  std::string flipped = envelope;
+  flipped.back() ^= 1;  // of the checksum
+  EXPECT_FALSE(DecodeEnvelope(flipped));
+  std::string longer = envelope;
+  longer[1] = '\x7f';  // its length
+  EXPECT_FALSE(DecodeEnvelope(longer));
+  EXPECT_FALSE(DecodeEnvelope(std::string(3, '\0')));
+}
+
+// The record's configuration is cut so that the bytes that are changed are often those of fields.
 TEST(Codec, NoBytesCrashTheReader) {
   std::mt19937_64 random(1);
-  std::string base =
-      EncodeFrame({"10.0.0.1", VoteReply{4, true, true, 9, std::make_shared<Record>(SampleRecord())}});
-  base.resize(4000);
-  for (int round = 0; round < 20000; ++round) {
-    std::string bytes = base.substr(kLengthBytes, random() % base.size());
-    for (int flips = 0; flips < 4 && !bytes.empty(); ++flips)
-      bytes[random() % std::min<std::size_t>(bytes.size(), 80)] = static_cast<char>(random());
-    DecodeEnvelope(bytes);
-    DecodeRecord(bytes);
+  const std::string compressed =
+      EncodeFrame({"10.0.0.1", VoteReply{4, true, true, 9, std::make_shared<Record>(SampleRecord())}})
+          .substr(kLengthBytes);
+  std::string plain = *Decompress(compressed, kLongestEnvelope);
+  plain.resize(4000 - kLengthBytes);
+  for (const std::string& base : {plain, compressed}) {
+    for (int round = 0; round < 20000; ++round) {
+      std::string bytes = base.substr(0, random() % base.size());
+      for (int flips = 0; flips < 4 && !bytes.empty(); ++flips)
+        bytes[random() % std::min<std::size_t>(bytes.size(), 80)] = static_cast<char>(random());
+      DecodeEnvelope(bytes);
+      DecodeRecord(bytes);
+    }
   }
 }
 
