--- a/src/control_plane/control_gateway.cpp
+++ b/src/control_plane/control_gateway.cpp
@@ -90,7 +90,8 @@
   Request request(bhttp::verb::get, "/-/members", 11);
   request.set(bhttp::field::host, member);
   const auto until = steady_clock::now() + kMemberPatience;
-  const auto response = co_await Exchange(io_, {member, control_port_}, std::move(request), until);
+  const node::Endpoint place{member, control_port_};  // GCC 12 frees such a temporary of a co_await twice
+  const auto response = co_await Exchange(io_, place, std::move(request), until);
   if (!response || response->result() != bhttp::status::ok) co_return std::nullopt;
   co_return ParseMembersReport(response->body());
 }
