Stages are planned by slots that streams hold; gateways refer proxies and members to the members

Change 1: gateways listen to the internal protocol, name the members to whoever starts, make themselves known to members; these tell them every second who they are, so that one that starts anew learns it. Cause 2: 12,000 announced tokens a second at decode was a figure of earlier engines. Change 2: demand of decode is the time that streams hold slots, by what the last ones took; one busy share for both.

--- a/src/control_plane/control_gateway.cpp
+++ b/src/control_plane/control_gateway.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "http/sockets.h"
@@ -14,7 +15,7 @@
 
 constexpr milliseconds kMemberPatience{250};  // for the answer of one member
 constexpr milliseconds kCallPatience{900};    // callers go on elsewhere after a second
-constexpr milliseconds kRefreshEvery{5000};   // members come and go
+constexpr milliseconds kKnownEvery{1000};     // makes itself known to members
 constexpr milliseconds kExitMargin{500};      // before `grace_s` is over
 
 milliseconds Now() {
@@ -36,16 +37,39 @@
       settings_(settings),
       control_port_(settings.control ? settings.control->port : 0),
       directory_(SeedsOf(settings)),
+      mesh_(io, settings.ip, settings.MemberEndpoint(), nullptr),
       server_(io, [this](ApiRequest request) { return Handle(std::move(request)); }),
       refresh_(io) {}
 
 std::error_code ControlGateway::Start() {
   if (!settings_.control) return std::make_error_code(std::errc::invalid_argument);
   if (const std::error_code error = server_.Listen(*settings_.control)) return error;
-  asio::co_spawn(io_, KeepDirectory(), asio::detached);
+  const auto on_message = [this](mesh::Connection& connection, wire::Message message) {
+    OnMessage(connection, std::move(message));
+  };
+  if (const std::error_code error = mesh_.Listen(on_message, nullptr)) return error;
+  asio::co_spawn(io_, KeepKnown(), asio::detached);
   return {};
 }
 
+wire::Referral ControlGateway::KnownMembers() const {
+  return {{}, directory_.members(), directory_.Leader(Now()).value_or("")};
+}
+
+// A proxy hears on its connection whom to go to. A member that looks for the others calls itself by its IP
+// address, and hears at the port of members.
+void ControlGateway::OnMessage(mesh::Connection& connection, wire::Message message) {
+  if (const auto* referral = std::get_if<wire::Referral>(&message.body)) {
+    return directory_.Take(Now(), {referral->members, referral->leader});
+  }
+  if (std::holds_alternative<wire::Subscribe>(message.body)) {
+    return connection.Send(mesh_.Encode(KnownMembers()));
+  }
+  const bool looks_for_members = std::holds_alternative<wire::LearnRequest>(message.body) ||
+                                 std::holds_alternative<wire::Hello>(message.body);
+  if (looks_for_members) mesh_.Send(message.sender, mesh_.Encode(KnownMembers()));
+}
+
 void ControlGateway::Leave(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
   refresh_.cancel();
@@ -63,6 +87,7 @@
     co_return JsonResponse(bhttp::status::ok,
                            R"({"node":")" + settings_.node_name + R"(","role":"gateway"})");
   }
+  if (target == "/-/members") co_return Members();
   const std::string member = co_await FindMember();
   if (member.empty()) {
     co_return ErrorResponse(bhttp::status::service_unavailable, "no member of the control plane answers");
@@ -72,6 +97,15 @@
   co_return response;
 }
 
+// As a member tells it: gateways ask one another too.
+ApiResponse ControlGateway::Members() const {
+  std::string members;
+  for (const std::string& member : directory_.members())
+    members += (members.empty() ? "\"" : ",\"") + member + "\"";
+  return JsonResponse(bhttp::status::ok, R"({"members":[)" + members + R"(],"leader":")" +
+                                             directory_.Leader(Now()).value_or("") + R"("})");
+}
+
 Awaitable<std::string> ControlGateway::FindMember() {
   const auto until = steady_clock::now() + kCallPatience;
   while (steady_clock::now() < until) {
@@ -81,7 +115,9 @@
     const auto report = co_await AskMember(member);
     if (!report) continue;
     directory_.Take(Now(), *report);
-    if (report->leader.empty()) co_return member;  // it waits for a leader itself
+    const auto& members = report->members;
+    const bool is_member = std::find(members.begin(), members.end(), member) != members.end();
+    if (is_member && report->leader.empty()) co_return member;  // it waits for a leader itself
   }
   co_return std::string();
 }
@@ -96,14 +132,14 @@
   co_return ParseMembersReport(response->body());
 }
 
-Awaitable<void> ControlGateway::KeepDirectory() {
+Awaitable<void> ControlGateway::KeepKnown() {
   while (!stopping_) {
-    refresh_.expires_after(kRefreshEvery);
+    std::vector<std::string> told = directory_.members();
+    if (told.empty()) told = SeedsOf(settings_);
+    const mesh::Frame frame = mesh_.Encode(KnownMembers());
+    for (const std::string& member : told) mesh_.Send(member, frame);
+    refresh_.expires_after(kKnownEvery);
     co_await refresh_.async_wait(kTuple);
-    if (stopping_) co_return;
-    const std::string member = directory_.NextToAsk();
-    if (member.empty()) continue;
-    if (const auto report = co_await AskMember(member)) directory_.Take(Now(), *report);
   }
 }
 
--- a/src/control_plane/control_gateway.h
+++ b/src/control_plane/control_gateway.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// A control process on a machine without a disk: it can't be a member, so it sends callers of the operator's
-// API on to the leader. It holds no state and asks members only when somebody calls, and now and then for who
-// they are.
+// A control process on a machine without a disk: it can't be a member, so it sends whoever calls it on,
+// callers of the operator's API to the leader, proxies and members that start to the members. Seeds may name
+// it. It makes itself known to the members, which tell it who they are; it holds no other state.
 #ifndef KESTRELLINE_CONTROL_PLANE_CONTROL_GATEWAY_H_
 #define KESTRELLINE_CONTROL_PLANE_CONTROL_GATEWAY_H_
 
@@ -13,6 +13,7 @@
 
 #include "control_plane/member_directory.h"
 #include "http/api_server.h"
+#include "mesh/mesh.h"
 #include "node/settings.h"
 
 namespace kestrelline::control_plane {
@@ -26,17 +27,21 @@
   void Leave(std::function<void()> done);
 
  private:
+  void OnMessage(mesh::Connection& connection, wire::Message message);
+  wire::Referral KnownMembers() const;
   http::Awaitable<http::ApiResponse> Handle(http::ApiRequest request);
+  http::ApiResponse Members() const;
   // A member to send callers to: the leader where one is known. Empty: no member answers.
   http::Awaitable<std::string> FindMember();
   http::Awaitable<std::optional<MembersReport>> AskMember(std::string member);
-  http::Awaitable<void> KeepDirectory();
+  http::Awaitable<void> KeepKnown();
   http::Awaitable<void> Stop(std::function<void()> done);
 
   http::asio::io_context& io_;
   const node::Settings settings_;
   const std::uint16_t control_port_;
   MemberDirectory directory_;
+  mesh::Mesh mesh_;
   http::ApiServer server_;
   http::asio::steady_timer refresh_;
   bool stopping_ = false;
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -26,7 +26,9 @@
 constexpr milliseconds kLastWords{150};      // for what was sent last to other members
 constexpr milliseconds kExitMargin{350};     // before `grace_s` is over
 constexpr milliseconds kDrainReserve{1500};  // of `grace_s`, for the answers of a member that has left
-constexpr int kEpochShift = 32;              // a list's revision: the leader's epoch, then a count
+constexpr milliseconds kTellGatewaysEvery{1000};
+constexpr std::size_t kMostGateways = 64;
+constexpr int kEpochShift = 32;  // a list's revision: the leader's epoch, then a count
 
 Time Now() { return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch()); }
 
@@ -175,10 +177,35 @@
   if (const auto* changes = std::get_if<wire::LoadChanges>(&message.body)) {
     return loads_.board().ChangesFromMember(Now(), message.sender, *changes);
   }
+  if (const auto* referral = std::get_if<wire::Referral>(&message.body)) {
+    return OnReferral(message.sender, *referral);
+  }
   replica_.Receive(Now(), message.sender, message.body);
   Pump();
 }
 
+// From a gateway: it is one, and whom it knows.
+void ControlNode::OnReferral(const std::string& from, const wire::Referral& referral) {
+  replica_.Introduce(referral.members);
+  const auto members = replica_.KnownNodes();
+  const bool member = std::find(members.begin(), members.end(), from) != members.end();
+  if (replica_.committed() && !member && gateways_.size() < kMostGateways) gateways_.insert(from);
+}
+
+// Gateways that made themselves known, and seeds that are no members: they may be gateways.
+void ControlNode::TellGateways() {
+  if (Now() < next_tell_gateways_ || !replica_.committed()) return;
+  next_tell_gateways_ = Now() + kTellGatewaysEvery;
+  const std::vector<std::string> members = replica_.KnownNodes();
+  std::set<std::string> told = gateways_;
+  for (const node::Endpoint& seed : settings_.seeds) told.insert(seed.ip);
+  for (const std::string& member : members) told.erase(member);
+  told.erase(settings_.ip);
+  if (told.empty()) return;
+  const mesh::Frame frame = mesh_.Encode(wire::Referral{{}, members, replica_.LiveLeader(Now())});
+  for (const std::string& gateway : told) mesh_.Send(gateway, frame);
+}
+
 // The list is as old as it says, counted from before it was composed; where that is unknown, as old as the
 // last.
 void ControlNode::OnInstances(const mesh::Connection& connection, const wire::InstanceList& list) {
@@ -250,8 +277,8 @@
   next_plan_ = Now() + kPlanEvery;
   const auto demands = loads_.board().Everywhere().demands;
   for (const wire::Demand& demand : demands) {
-    spdlog::debug("demand service={} reading_ms_per_s={} output_tokens_per_s={}", demand.service,
-                  demand.reading_ms_per_s, demand.output_tokens_per_s);
+    spdlog::debug("demand service={} reading_ms_per_s={} generating_ms_per_s={}", demand.service,
+                  demand.reading_ms_per_s, demand.generating_ms_per_s);
   }
   auto orders = planner_.Plan(Now(), listed_, demands);
   if (!orders.empty()) ShowList();  // no proxy picks them from now on
@@ -305,6 +332,7 @@
     replica_.Tick(Now());
     Pump();
     ShareLoads();
+    TellGateways();
     MoveStages();
     TickLeave();
     if (change_waits_) {
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <system_error>
 
@@ -59,6 +60,8 @@
   void LogRole();
   void ScheduleTick();
   void SendToMembers(const wire::Body& body);
+  void OnReferral(const std::string& from, const wire::Referral& referral);
+  void TellGateways();
   void SendListToMembers();
   void SendListFrame(const mesh::Frame& frame);
   void SendList(const std::string& member, const mesh::Frame& frame);
@@ -111,6 +114,10 @@
   Time last_change_published_{0};
   bool change_waits_ = false;  // for kBetweenPublications since then
   Role logged_role_ = Role::kLearner;
+  // Control processes that are no members; told who the members are for as long as this process lives, so
+  // that one that starts anew and knows nobody hears of them.
+  std::set<std::string> gateways_;
+  Time next_tell_gateways_{0};
   std::function<void()> on_leave_requested_;
   std::function<void()> left_;  // set while this member leaves
   http::steady_clock::time_point stop_until_;
--- a/src/control_plane/member_directory.cpp
+++ b/src/control_plane/member_directory.cpp
@@ -37,10 +37,12 @@
 }
 
 void MemberDirectory::Take(Time now, const MembersReport& report) {
+  if (report.members.empty()) return;  // from one that knows nothing itself
   leader_ = report.leader;
   leader_told_ = now;
-  if (report.members.empty()) return;  // a member that knows nothing yet
-  nodes_ = report.members;
+  members_ = report.members;
+  if (members_.size() > kMostMembers) members_.resize(kMostMembers);
+  nodes_ = members_;
   for (const std::string& seed : seeds_) {
     if (std::find(nodes_.begin(), nodes_.end(), seed) == nodes_.end()) nodes_.push_back(seed);
   }
--- a/src/control_plane/member_directory.h
+++ b/src/control_plane/member_directory.h
@@ -25,7 +25,7 @@
  public:
   using Time = std::chrono::milliseconds;  // of a steady clock
 
-  static constexpr Time kLeaderKnownFor{1000};
+  static constexpr Time kLeaderKnownFor{2500};  // members tell it every second
   static constexpr std::size_t kMostMembers = 32;
 
   explicit MemberDirectory(std::vector<std::string> seeds);
@@ -36,11 +36,12 @@
   // The one that a member named as leader a short while ago.
   std::optional<std::string> Leader(Time now) const;
   void Take(Time now, const MembersReport& report);
-  // The leader does not answer.
-  void ForgetLeader() { leader_.clear(); }
+  // The members that were told last; empty if never.
+  const std::vector<std::string>& members() const { return members_; }
 
  private:
   const std::vector<std::string> seeds_;
+  std::vector<std::string> members_;
   std::vector<std::string> nodes_;  // the members told last, then seeds that are none
   std::size_t next_ = 0;
   std::string leader_;
--- a/src/control_plane/replica.cpp
+++ b/src/control_plane/replica.cpp
@@ -60,6 +60,10 @@
   known_.insert(node);
 }
 
+void Replica::Introduce(const std::vector<std::string>& members) {
+  for (const std::string& member : members) Know(member);
+}
+
 std::vector<std::string> Replica::KnownNodes() const {
   NodeSet nodes;
   if (committed_) {
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -39,6 +39,8 @@
 
   void Tick(Time now);
   void Receive(Time now, const std::string& from, const wire::Body& body);
+  // These are members, as a process without a disk told: whom to learn from.
+  void Introduce(const std::vector<std::string>& members);
   void Persisted(Time now, std::uint64_t ticket, bool written);
   // Decided follows with the number returned.
   std::uint64_t Propose(Time now, Change change);
--- a/src/control_plane/stage_planner.h
+++ b/src/control_plane/stage_planner.h
@@ -26,10 +26,8 @@
 };
 
 struct StagePlannerOptions {
-  double prefill_busy = 0.55;  // the part of its time that a prefill backend should read
-  double decode_tokens_per_s =
-      12000;                  // announced by requests, a third of which come; a decode backend keeps its pace
-  double least_share = 0.25;  // of the backends, for either stage
+  double busy = 0.55;            // the part of its time, or of its slots, that a backend should be at work
+  double least_share = 0.25;     // of the backends, for either stage
   double share_at_rest = 0.5;    // prefill's, while clients ask for little
   double little_busy = 0.15;     // of all backends' time: less than this is little
   std::size_t most_at_once = 3;  // moves under way
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -61,12 +61,19 @@
     std::optional<ReadingUnderWay> reading;
     if (target->reading_ms > 0) reading.emplace(target->backend, prompt_, target->reading_ms, DecisionTime());
     Attempt attempt(state_, target->backend);
+    const TimePoint sent_at = DecisionTime();
     const AttemptEnd end = co_await Send(attempt, target->fields, give_up_at_, runs_sent_);
     reading.reset();
     if (end == AttemptEnd::kAnswered) {
+      const bool handed_over = read_.has_value();
       read_.reset();  // taken
       ++may_have_run_;
-      co_return co_await PassOn(attempt);
+      co_await PassOn(attempt);
+      if (handed_over) {
+        state_.demand.NoteGeneration(service_, static_cast<double>(prompt_.output_tokens),
+                                     (DecisionTime() - sent_at).count());
+      }
+      co_return;
     }
     if (read_) AfterHandOver(end, attempt);
     if (!MayTryAgain(end, *target->backend)) break;
--- a/src/data_plane/subscription.cpp
+++ b/src/data_plane/subscription.cpp
@@ -53,6 +53,7 @@
   for (const std::string& proxy : referral.proxies) {
     if (proxy != self_ && relays_.size() < kMostRelays) relays_.push_back(proxy);
   }
+  AddPeers(referral.members);
   std::shuffle(relays_.begin(), relays_.end(), random_);
 }
 
@@ -62,8 +63,15 @@
   heard_at_ = now;
   const std::optional<Time> dated = Enforced(Safeguard::kDateByProbe) ? composed_after : now;
   fresh_ = dated && publication.certain && now - *dated + Time(publication.age_ms) < kOldest;
-  for (const std::string& peer : publication.control_peers) {
-    if (std::find(peers_.begin(), peers_.end(), peer) == peers_.end()) peers_.push_back(peer);
+  AddPeers(publication.control_peers);
+}
+
+// Those that are new come next in turn.
+void Subscription::AddPeers(const std::vector<std::string>& peers) {
+  for (const std::string& peer : peers) {
+    if (std::find(peers_.begin(), peers_.end(), peer) != peers_.end()) continue;
+    if (!peers_.empty()) next_peer_ %= peers_.size();
+    peers_.insert(peers_.begin() + static_cast<std::ptrdiff_t>(next_peer_), peer);
   }
   if (peers_.size() > kMostPeers) peers_.resize(kMostPeers);
 }
--- a/src/data_plane/subscription.h
+++ b/src/data_plane/subscription.h
@@ -62,6 +62,7 @@
 
  private:
   std::string NextPeer();
+  void AddPeers(const std::vector<std::string>& peers);
 
   const std::string self_;
   std::mt19937_64 random_;
--- a/src/distribution/load_board.cpp
+++ b/src/distribution/load_board.cpp
@@ -59,7 +59,7 @@
         wire::Demand& sum = demands[demand.service];
         sum.service = demand.service;
         sum.reading_ms_per_s += demand.reading_ms_per_s;
-        sum.output_tokens_per_s += demand.output_tokens_per_s;
+        sum.generating_ms_per_s += demand.generating_ms_per_s;
       }
     }
   }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -192,7 +192,7 @@
     kestrelline_wire_Demand raw = kestrelline_wire_Demand_init_zero;
     raw.service = Writing(demand.service);
     raw.reading_ms_per_s = demand.reading_ms_per_s;
-    raw.output_tokens_per_s = demand.output_tokens_per_s;
+    raw.generating_ms_per_s = demand.generating_ms_per_s;
     if (!pb_encode_tag_for_field(stream, field)) return false;
     if (!pb_encode_submessage(stream, kestrelline_wire_Demand_fields, &raw)) return false;
   }
@@ -205,7 +205,7 @@
   raw.service = Reading(demand.service);
   if (!pb_decode(stream, kestrelline_wire_Demand_fields, &raw)) return false;
   demand.reading_ms_per_s = raw.reading_ms_per_s;
-  demand.output_tokens_per_s = raw.output_tokens_per_s;
+  demand.generating_ms_per_s = raw.generating_ms_per_s;
   static_cast<std::vector<Demand>*>(*argument)->push_back(std::move(demand));
   return true;
 }
@@ -389,6 +389,8 @@
 void Put(RawEnvelope& raw, const Referral& referral) {
   raw.has_referral = true;
   raw.referral.proxies = Writing(referral.proxies);
+  raw.referral.members = Writing(referral.members);
+  raw.referral.leader = Writing(referral.leader);
 }
 
 template <typename Raw>
@@ -569,6 +571,8 @@
   raw.load_summary.loads = Reading(parts.load_summary.loads);
   PrepareToReadWork(raw.load_changes, parts.load_changes);
   raw.referral.proxies = Reading(parts.referral.proxies);
+  raw.referral.members = Reading(parts.referral.members);
+  raw.referral.leader = Reading(parts.referral.leader);
   // PB_DECODE_NOINIT: the callbacks set above must survive; all other fields are zero already.
   pb_istream_t stream =
       pb_istream_from_buffer(reinterpret_cast<const pb_byte_t*>(bytes.data()), bytes.size());
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -178,7 +178,7 @@
 struct Demand {
   std::string service;
   std::uint32_t reading_ms_per_s = 0;  // of a prefill backend's time
-  std::uint32_t output_tokens_per_s = 0;
+  std::uint32_t generating_ms_per_s = 0;  // of a decode backend's slots
   bool operator==(const Demand&) const = default;
 };
 struct LoadReport {
@@ -201,9 +201,12 @@
 struct ListRequest {
   std::uint64_t held_revision = 0;
 };
-// There is no room for another subscriber; these proxies pass on what they are told.
+// To a subscriber that finds no room: these proxies pass on what they are told. And between members and
+// gateways, which are no members and send whoever asks them on: who the members are, and who leads.
 struct Referral {
-  std::vector<std::string> proxies;
+  std::vector<std::string> proxies;  // IP:PORT
+  std::vector<std::string> members;  // IP
+  std::string leader;                // empty: none is known
 };
 struct LoadSummary {
   std::vector<BackendLoad> loads;
--- a/tests/control_plane/planning_test.cpp
+++ b/tests/control_plane/planning_test.cpp
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr unsigned kSlots = 64;
+
 std::vector<wire::Instance> Backends(int prefill, int decode) {
   std::vector<wire::Instance> instances;
   for (int i = 0; i < prefill + decode; ++i) {
@@ -19,17 +21,18 @@
     instance.service = "llm";
     instance.address = "10.0.0.1:" + std::to_string(100 + i);
     instance.zone = std::string(1, static_cast<char>('a' + i % 3));
+    instance.slots = kSlots;
     instance.prefill = i < prefill;
     instance.decode = i >= prefill;
     instances.push_back(instance);
   }
   return instances;
 }
-// The reading of so many backends at full pace, and tokens for so many.
+// The reading of so many backends at full pace, and streams for so many that are as busy as they should be.
 std::vector<wire::Demand> Asked(double prefill, double decode) {
   const StagePlannerOptions options;
   return {{"llm", static_cast<std::uint32_t>(prefill * 1000),
-           static_cast<std::uint32_t>(decode * options.decode_tokens_per_s)}};
+           static_cast<std::uint32_t>(decode * options.busy * kSlots * 1000)}};
 }
 std::size_t Count(const std::vector<wire::Instance>& instances, bool prefill) {
   std::size_t count = 0;
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -297,7 +297,7 @@
   const auto demands = meter.Demands(At(20000));
   ASSERT_EQ(demands.size(), 1u);
   EXPECT_NEAR(demands[0].reading_ms_per_s, 400, 20);
-  EXPECT_NEAR(demands[0].output_tokens_per_s, 2000, 100);
+  EXPECT_NEAR(demands[0].generating_ms_per_s, 2000, 100);
   EXPECT_LT(meter.Demands(At(60000))[0].reading_ms_per_s, 5u);
 }
 
