--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -57,12 +57,12 @@
     const auto target = co_await NextTarget();
     if (client_.gone()) break;
     if (!target) continue;
-    if (!target->backend || !PayForRun()) break;
+    if (!target->backend || !PayForArrival()) break;
     std::optional<ReadingUnderWay> reading;
     if (target->reading_ms > 0) reading.emplace(target->backend, prompt_, target->reading_ms, DecisionTime());
     Attempt attempt(state_, target->backend);
     const TimePoint sent_at = DecisionTime();
-    const AttemptEnd end = co_await Send(attempt, target->fields, give_up_at_, runs_sent_);
+    const AttemptEnd end = co_await SendToRun(attempt, target->fields);
     reading.reset();
     if (end == AttemptEnd::kAnswered) {
       const bool handed_over = read_.has_value();
@@ -89,13 +89,13 @@
   if (!read_) {
     const Pick whole = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     const Pick reader = state_.placement.PickPrefill(service_, prompt_, excluded_, now);
-    if (runs_sent_ == 0 && readings_sent_ == 0 && reader.backend) {
+    if (arrivals_.empty() && reader.backend) {
       state_.demand.Count(service_, reader.work_ms, static_cast<double>(prompt_.output_tokens), now);
     }
     // A request that tells no prompt has nothing to be read apart: a prefill backend would run it.
     const bool apart =
         prompt_.tokens > 0 && reader.backend && whole.backend && reader.cost_ms < whole.cost_ms;
-    if (!apart || !PayForReading()) co_return Target{whole.backend, whole.work_ms, PriorityField()};
+    if (!apart || !PayForArrival()) co_return Target{whole.backend, whole.work_ms, PriorityField()};
     read_ = co_await Prefill(reader);
     if (!read_) {
       excluded_.push_back(reader.backend.get());
@@ -130,15 +130,20 @@
   Attempt attempt(state_, pick.backend);
   const auto until = std::min(give_up_at_, In(pick.ready_ms * kPrefillPatienceFactor + kPrefillPatienceMs));
   const std::string fields = "Serving-Stage: prefill\r\n" + PriorityField();
-  const AttemptEnd end = co_await Send(attempt, fields, until, readings_sent_);
-  if (end != AttemptEnd::kAnswered) co_return std::nullopt;
+  const AttemptEnd end = co_await Send(attempt, fields, until);
+  if (end == AttemptEnd::kNotSent) co_return std::nullopt;
+  if (end != AttemptEnd::kAnswered) {
+    arrivals_.NoteReading(false);
+    co_return std::nullopt;
+  }
   std::string body;
   active_ = &attempt;
   const error_code error = co_await attempt.ReadBody(body, kLongestReceipt, until);
   active_ = nullptr;
-  if (error) co_return std::nullopt;
-  attempt.Finish();
-  if (attempt.head().result() != bhttp::status::ok) co_return std::nullopt;
+  const bool read = !error && attempt.head().result() == bhttp::status::ok;
+  arrivals_.NoteReading(read);
+  if (!error) attempt.Finish();
+  if (!read) co_return std::nullopt;
   auto handle = ParseHandle(body);
   if (!handle) {
     ++may_have_run_;  // whatever this was, it was no reading
@@ -150,7 +155,7 @@
 
 // A stream that may be resumed goes on at another backend, after its last whole event.
 Awaitable<void> RequestFlow::ResumeStream() {
-  while (!client_.gone() && route_->resumable && MayRunAgain() && !OutOfTime() && PayForRun()) {
+  while (!client_.gone() && route_->resumable && MayRunAgain() && !OutOfTime() && PayForArrival()) {
     const TimePoint now = DecisionTime();
     const Pick pick = state_.placement.PickWhole(service_, prompt_, excluded_, now);
     if (!pick.backend) break;
@@ -158,7 +163,7 @@
     std::string fields = PriorityField();
     if (!events_.last_id().empty()) fields += "Last-Event-Id: " + events_.last_id() + "\r\n";
     Attempt attempt(state_, pick.backend);
-    const AttemptEnd end = co_await Send(attempt, fields, give_up_at_, runs_sent_);
+    const AttemptEnd end = co_await SendToRun(attempt, fields);
     reading.End();
     excluded_.push_back(pick.backend.get());
     if (end == AttemptEnd::kNotSent || end == AttemptEnd::kNotExecuted) continue;
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -115,9 +115,9 @@
   for (int tries = 0; tries < kMostSends; ++tries) {
     if (client_.gone()) break;
     const Pick pick = state_.placement.PickPlain(service_, excluded_, DecisionTime());
-    if (!pick.backend || OutOfTime() || !PayForRun()) co_return co_await GiveUp();
+    if (!pick.backend || OutOfTime() || !PayForArrival()) co_return co_await GiveUp();
     Attempt attempt(state_, pick.backend);
-    const AttemptEnd end = co_await Send(attempt, "", give_up_at_, runs_sent_);
+    const AttemptEnd end = co_await SendToRun(attempt, "");
     if (end == AttemptEnd::kAnswered) {
       ++may_have_run_;
       co_return co_await PassOn(attempt);
@@ -128,7 +128,7 @@
 }
 
 Awaitable<AttemptEnd> RequestFlow::Send(Attempt& attempt, const std::string& extra_fields,
-                                        steady_clock::time_point until, int& arrivals) {
+                                        steady_clock::time_point until) {
   active_ = &attempt;
   if (!admitted_while_stopping_) give_up_at_ = state_.drain.Bound(give_up_at_);  // read before SIGTERM
   if (give_up_at_ > state_.drain.Bound(give_up_at_)) {
@@ -138,10 +138,7 @@
   const std::string head = BackendHead(attempt.backend(), extra_fields);
   const AttemptEnd end = co_await attempt.Run(head, request().body(), request_id_, until);
   active_ = nullptr;
-  if (end == AttemptEnd::kNotSent) {
-    open_->stage = stage_before;
-    --arrivals;
-  }
+  if (end == AttemptEnd::kNotSent) open_->stage = stage_before;
   if (end == AttemptEnd::kNotExecuted) {
     std::string ignored;
     co_await attempt.ReadBody(ignored, kLongestRefusal, steady_clock::now() + kDrainPatience);
@@ -150,6 +147,12 @@
   co_return end;
 }
 
+Awaitable<AttemptEnd> RequestFlow::SendToRun(Attempt& attempt, const std::string& extra_fields) {
+  const AttemptEnd end = co_await Send(attempt, extra_fields, give_up_at_);
+  if (end != AttemptEnd::kNotSent) arrivals_.NoteRun();
+  co_return end;
+}
+
 std::string RequestFlow::BackendHead(const Backend& backend, const std::string& extra_fields) const {
   const ClientRequest& request = client_.request();
   std::string head(request.method_string());
@@ -179,21 +182,11 @@
 
 bool RequestFlow::MayRunAgain() const { return route_->Idempotent() && may_have_run_ < route_->max_attempts; }
 
-bool RequestFlow::TakeBudget() {
+bool RequestFlow::PayForArrival() {
+  if (!arrivals_.NeedsPayment()) return true;
   if (!state_.budget.Take(service_, DecisionTime())) return false;
   ++state_.counters.retries;
-  return true;
-}
-
-bool RequestFlow::PayForRun() {
-  if (runs_sent_ > 0 && !TakeBudget()) return false;
-  ++runs_sent_;
-  return true;
-}
-
-bool RequestFlow::PayForReading() {
-  if (readings_sent_ > 0 && !TakeBudget()) return false;
-  ++readings_sent_;
+  arrivals_.NotePayment();
   return true;
 }
 
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "data_plane/arrival_account.h"
 #include "data_plane/attempt.h"
 #include "data_plane/event_splitter.h"
 
@@ -53,11 +54,8 @@
   // Whether it may be sent again after an attempt without an answer; that backend is done without.
   bool MayTryAgain(AttemptEnd end, const Backend& backend);
   bool MayRunAgain() const;
-  // The first arrival of a request, and the first that only reads its prompt, are free; others draw on the
-  // budget.
-  bool PayForRun();
-  bool PayForReading();
-  bool TakeBudget();
+  // Before an arrival: whether the budget bears it.
+  bool PayForArrival();
   void FreeHandle(const ReadPrompt& prompt);
   // Who runs the request next, and the fields that go with it; nothing if it can't be sent now.
   struct Target {
@@ -68,9 +66,11 @@
   Awaitable<std::optional<Target>> NextTarget();
   void AfterHandOver(AttemptEnd end, const Attempt& attempt);
 
-  // `arrivals` counts it already, and counts it no more if no byte was sent. A refusal is read to its end.
+  // A refusal is read to its end.
   Awaitable<AttemptEnd> Send(Attempt& attempt, const std::string& extra_fields,
-                             steady_clock::time_point until, int& arrivals);
+                             steady_clock::time_point until);
+  // The same of an arrival that is to run, which is counted.
+  Awaitable<AttemptEnd> SendToRun(Attempt& attempt, const std::string& extra_fields);
   std::string BackendHead(const Backend& backend, const std::string& extra_fields) const;
   std::string PriorityField() const;
 
@@ -96,8 +96,7 @@
 
   Attempt* active_ = nullptr;
   Excluded excluded_;
-  int runs_sent_ = 0;      // arrivals that were to run
-  int readings_sent_ = 0;  // arrivals that were only to read the prompt
+  ArrivalAccount arrivals_;
   int may_have_run_ = 0;
   bool cut_ = false;                // an answer that had begun was broken off, by its backend or its time
   std::optional<ReadPrompt> read_;  // a prompt that was read and not taken yet
--- a/tests/control_plane/planning_test.cpp
+++ b/tests/control_plane/planning_test.cpp
@@ -32,7 +32,7 @@
 std::vector<wire::Demand> Asked(double prefill, double decode) {
   const StagePlannerOptions options;
   return {{"llm", static_cast<std::uint32_t>(prefill * 1000),
-           static_cast<std::uint32_t>(decode * options.busy * kSlots * 1000)}};
+           static_cast<std::uint32_t>(decode * options.decode_busy * kSlots * 1000)}};
 }
 std::size_t Count(const std::vector<wire::Instance>& instances, bool prefill) {
   std::size_t count = 0;
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -3,6 +3,7 @@
 // What a proxy decides without I/O: prompts, events, budgets, health, placement.
 #include <gtest/gtest.h>
 
+#include "data_plane/arrival_account.h"
 #include "data_plane/backend_table.h"
 #include "data_plane/demand_meter.h"
 #include "data_plane/event_splitter.h"
@@ -68,6 +69,44 @@
 
 // --- budget ---
 
+TEST(ArrivalAccount, TheFirstReadingAndTheFirstRunAreFree) {
+  ArrivalAccount account;
+  EXPECT_TRUE(account.empty());
+  EXPECT_FALSE(account.NeedsPayment());
+  account.NoteReading(true);
+  EXPECT_FALSE(account.empty());
+  EXPECT_FALSE(account.NeedsPayment());
+  account.NoteRun();
+  EXPECT_TRUE(account.NeedsPayment());
+}
+
+// A reading that was rejected is the request's first arrival: whatever follows is beyond it, a run included.
+TEST(ArrivalAccount, AReadingThatWasNotTakenMakesTheRunOneThatIsPaidFor) {
+  ArrivalAccount account;
+  account.NoteReading(false);
+  EXPECT_TRUE(account.NeedsPayment());
+  account.NotePayment();
+  EXPECT_FALSE(account.NeedsPayment());
+  account.NoteReading(true);  // the first that was taken: the payment is left for the run
+  EXPECT_FALSE(account.NeedsPayment());
+  account.NoteRun();
+  EXPECT_TRUE(account.NeedsPayment());
+}
+
+TEST(ArrivalAccount, AllArrivalsButTheFirstThatCountsArePaidFor) {
+  ArrivalAccount account;
+  int paid = 0;
+  const auto arrive = [&](auto note) {
+    if (account.NeedsPayment()) account.NotePayment(), ++paid;
+    note();
+  };
+  arrive([&] { account.NoteReading(true); });
+  arrive([&] { account.NoteRun(); });          // rejected
+  arrive([&] { account.NoteReading(true); });  // a second reading counts
+  arrive([&] { account.NoteRun(); });
+  EXPECT_EQ(paid, 2);
+}
+
 TEST(FleetRetryBudget, AProxyUsesItsShareAndNotMore) {
   RetryBudget budget({0.2, 58, Duration(10000)});
   budget.set_proxies(9, At(0));
