--- a/src/control_plane/stage_planner.h
+++ b/src/control_plane/stage_planner.h
@@ -29,7 +29,7 @@
   double prefill_busy = 0.55;  // the part of its time that a prefill backend should read
   // The part of its slots that a decode backend should have taken: short prompts are read there too, and each
   // token comes later the more of them run.
-  double decode_busy = 0.25;
+  double decode_busy = 0.55;
   double least_share = 0.25;     // of the backends, for either stage
   double share_at_rest = 0.5;    // prefill's, while clients ask for little
   double little_busy = 0.15;     // of all backends' time: less than this is little
