--- a/src/configuration/patch.cpp
+++ b/src/configuration/patch.cpp
@@ -16,11 +16,19 @@
 
 using Names = std::set<std::string, std::less<>>;
 
+std::string ItemOf(const std::string& list, std::size_t index) {
+  std::string text = list;
+  text += '[';
+  text += std::to_string(index);
+  text += ']';
+  return text;
+}
+
 // The name of an item of a list; `where` is the list, for messages.
 std::string NameOf(const json_t* item, const std::string& where, std::size_t index) {
   const json_t* name = json_object_get(item, "name");
   if (json_is_string(name)) return json_string_value(name);
-  throw Invalid(where + "[" + std::to_string(index) + "] has no name");
+  throw Invalid(ItemOf(where, index) + " has no name");
 }
 
 // Calls `visit(key, list)` for each list of the section `key`, which may be absent.
@@ -43,7 +51,7 @@
   std::size_t index = 0;
   const json_t* name = nullptr;
   json_array_foreach(list, index, name) {
-    if (!json_is_string(name)) throw Invalid(where + "[" + std::to_string(index) + "] is no name");
+    if (!json_is_string(name)) throw Invalid(ItemOf(where, index) + " is no name");
     names.insert(json_string_value(name));
   }
   return names;
@@ -55,7 +63,7 @@
   const json_t* item = nullptr;
   json_array_foreach(list, index, item) {
     const std::string name = NameOf(item, where, index);
-    if (!names.insert(name).second) throw Invalid(where + " names " + name + " twice");
+    if (!names.insert(name).second) throw Invalid("the same name twice in " + where + ": " + name);
   }
   return names;
 }
@@ -154,7 +162,7 @@
     if (list_key != key) return;
     std::vector<Item> changed;
     for (std::size_t index = 0; index < json_array_size(list); ++index) {
-      changed.push_back(read(json_array_get(list, index), where + "[" + std::to_string(index) + "]"));
+      changed.push_back(read(json_array_get(list, index), ItemOf(where, index)));
     }
     UpsertTyped(items, std::move(changed));
   });
--- a/src/distribution/publication.cpp
+++ b/src/distribution/publication.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // More of patches is no less work for the receiver than the whole.
-constexpr std::size_t kMostPatchBytes = 64 * 1024;
+constexpr std::size_t kMostPatchBytes = 65536;
 
 void AddConfiguration(wire::Publication& publication, const SubscriberState& subscriber,
                       const Published& now) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -177,7 +177,7 @@
 // What clients ask of a service with engines, as a rate.
 struct Demand {
   std::string service;
-  std::uint32_t reading_ms_per_s = 0;  // of a prefill backend's time
+  std::uint32_t reading_ms_per_s = 0;     // of a prefill backend's time
   std::uint32_t generating_ms_per_s = 0;  // of a decode backend's slots
   bool operator==(const Demand&) const = default;
 };
