--- a/src/configuration/patch.cpp
+++ b/src/configuration/patch.cpp
@@ -63,7 +63,8 @@
   const json_t* item = nullptr;
   json_array_foreach(list, index, item) {
     const std::string name = NameOf(item, where, index);
-    if (!names.insert(name).second) throw Invalid("the same name twice in " + where + ": " + name);
+    if (names.insert(name).second) continue;
+    throw Invalid(std::string(where).append(" names an item twice: ").append(name));
   }
   return names;
 }
--- a/tests/configuration/patch_test.cpp
+++ b/tests/configuration/patch_test.cpp
@@ -62,7 +62,7 @@
   EXPECT_NE(ErrorOf(R"({"version":2,"remove":{"routes":[7]}})").find("remove.routes[0]"), std::string::npos);
   EXPECT_NE(ErrorOf(R"({"version":2,"remove":{"limits":["x"]}})").find("limits"), std::string::npos);
   const std::string twice = R"({"version":2,"upsert":{"routes":[)" + Route("x", "x") + "," + Route("x", "y");
-  EXPECT_NE(ErrorOf(twice + "]}}").find("upsert.routes: x"), std::string::npos);
+  EXPECT_NE(ErrorOf(twice + "]}}").find("upsert.routes names an item twice: x"), std::string::npos);
 }
 
 // The next configuration is checked as a whole one is.
