--- a/tests/configuration/patch_test.cpp
+++ b/tests/configuration/patch_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
 #include <random>
 #include <set>
 
@@ -65,6 +66,21 @@
   EXPECT_NE(ErrorOf(twice + "]}}").find("upsert.routes names an item twice: x"), std::string::npos);
 }
 
+TEST(Patch, TheExampleOfTheOperatorsPageIsTaken) {
+  std::ifstream page(SOURCE_PATH "/docs/operating/edge-only.md");
+  std::string line;
+  std::string example;
+  while (std::getline(page, line)) {
+    if (line.starts_with("    {\"version\"")) example = line;
+  }
+  const PatchedText next = Patched(Whole(7, Route("r-old", "old") + "," + Route("r", "r")), example);
+  ASSERT_EQ(next.error, "");
+  const auto read = Parse(next.text).configuration;
+  EXPECT_EQ(read->version, 9u);
+  ASSERT_EQ(read->routes.size(), 2u);
+  EXPECT_EQ(read->routes[1].name, "r-new");
+}
+
 // The next configuration is checked as a whole one is.
 TEST(Patch, NothingInvalidComesOfIt) {
   EXPECT_NE(ErrorOf(R"({"version":2,"remove":{"services":["s"]}})").find("unknown service s"),
