Tests: a replacement at another address, a disk that does not count

Change: both with real processes on machines that carry traffic; the fixture's members may not count.

--- a/tests/router_fleet/edge_members_test.cpp
+++ b/tests/router_fleet/edge_members_test.cpp
@@ -158,6 +158,40 @@
   EXPECT_EQ(fleet.GetConfiguration(), fleet.Configuration(version));
 }
 
+bool IsMember(const Fleet& fleet, int core) {
+  for (int i = 0; i < 4; ++i) {
+    const Answer answer = Ask(fleet.CoreIp(i), Fleet::kControl,
+                              "GET /-/members HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const std::string members = answer.text.substr(0, answer.text.find("\"next_members\""));
+    if (members.find("\"" + fleet.CoreIp(core) + "\"") != std::string::npos) return true;
+  }
+  return false;
+}
+
+// A machine is gone for good; an empty one at another address takes its seat.
+TEST(EdgeMembers, AReplacementAtAnotherAddressTakesTheSeat) {
+  Fleet fleet(OnEdges(3, 3, 1));
+  ASSERT_TRUE(fleet.Begin());
+  fleet.core(1).End(SIGKILL);
+  fleet.edge(1).End(SIGKILL);
+  fleet.StartCore(3);
+  EXPECT_TRUE(Eventually([&] { return IsMember(fleet, 3) && !IsMember(fleet, 1); }));
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+}
+
+// Its disk does not count: it gets no seat, though one is vacant.
+TEST(EdgeMembers, ADiskThatDoesNotCountGetsNoSeat) {
+  Fleet fleet(OnEdges(3, 3, 1));
+  ASSERT_TRUE(fleet.Begin());
+  fleet.StartCore(3, /*bootstrap=*/false, /*counts=*/false);
+  fleet.core(1).End(SIGKILL);
+  EXPECT_EQ(fleet.Put(fleet.Configuration(2), 1), 200);
+  fleet.StartCore(4);  // one that counts takes the seat instead
+  EXPECT_TRUE(Eventually([&] { return IsMember(fleet, 4); }));
+  EXPECT_FALSE(IsMember(fleet, 3));
+  EXPECT_EQ(fleet.Put(fleet.Configuration(3), 2), 200);
+}
+
 // --- gateways ---
 
 Fleet::Options WithGateways(int count) {
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -163,11 +163,13 @@
   }
   std::string GatewayIp(int i) const { return Ip(80 + i); }
 
-  void StartCore(int i, bool bootstrap = false) {
+  // `counts`: for the quorum.
+  void StartCore(int i, bool bootstrap = false, bool counts = true) {
     const std::string data = folder_ / ("data" + std::to_string(i));
     std::filesystem::create_directories(data);
     cores_[i] = std::make_unique<Process>(
-        "core", WriteSettings("core" + std::to_string(i), CoreIp(i), bootstrap, true, data), folder_ / "log");
+        "core", WriteSettings("core" + std::to_string(i), CoreIp(i), bootstrap, true, data, counts),
+        folder_ / "log");
   }
   void StartEdge(int i) {
     edges_[i] = std::make_unique<Process>(
@@ -328,7 +330,7 @@
     return list;
   }
   std::string WriteSettings(const std::string& name, const std::string& ip, bool bootstrap, bool core,
-                            const std::string& data) const {
+                            const std::string& data, bool counts = true) const {
     std::string seeds;
     constexpr int kMostSeeds = 3;  // of a settings file
     const int count = std::min(kMostSeeds, seed_gateways_alone_ ? options_.gateways : options_.cores);
@@ -343,7 +345,7 @@
                        "\"\nzone = \"a\"\nephemeral_ports = [" + std::to_string(kInternal) + "," +
                        std::to_string(kInternal + 9) + "]\nseeds = [" + seeds +
                        "]\nbootstrap = " + (bootstrap ? "true" : "false") +
-                       "\ncounts_for_quorum = " + (core ? "true" : "false") + "\n";
+                       "\ncounts_for_quorum = " + (core && counts ? "true" : "false") + "\n";
     if (!data.empty()) text += "data_dir = \"" + data + "\"\n";
     text += "[listen]\n";
     text += core ? listen("control", kControl) : listen("front", kFront) + listen("ready", kReady);
