A stopping proxy tells which answers it cut: when read, tokens announced, silence

Change: a line for each answer that is broken off while the proxy stops, and the same fields for what is open at the exit.

--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -326,9 +326,7 @@
 // What the end of this process takes from clients: when each such request was read, and on which connection.
 void EdgeNode::LogUnanswered() {
   for (const OpenRequests::Handle& request : state_.open_requests.Entries()) {
-    const auto after_term = std::chrono::duration_cast<milliseconds>(request->read_at - state_.drain.began());
-    spdlog::warn("unanswered at exit request_id={} stage={} read_after_term_ms={} earlier_on_connection={}",
-                 request->id, Name(request->stage), after_term.count(), request->earlier_on_connection);
+    spdlog::warn("unanswered at exit {}", LogFields(*request, steady_clock::now(), state_.drain.began()));
     const bool may_outlast =
         request->stage == RequestStage::kAnswerBegun && state_.drain.ServesOn(request->read_at);
     if (!may_outlast) {
--- a/src/data_plane/open_requests.h
+++ b/src/data_plane/open_requests.h
@@ -7,8 +7,10 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,10 +30,19 @@
   std::chrono::steady_clock::time_point read_at;
   std::size_t earlier_on_connection = 0;  // requests that were read on the same connection before
   RequestStage stage = RequestStage::kRead;
+  std::int64_t output_tokens = 0;  // that its `Token-Count` announces
+  std::optional<std::chrono::steady_clock::time_point> first_event_at =
+      std::nullopt;  // of its answer, passed on
+  std::optional<std::chrono::steady_clock::time_point> last_event_at = std::nullopt;
   // Answers it now, with an error if there is nothing else; an answer that has begun goes on.
   std::function<void()> conclude;
 };
 
+// Log fields of a request that is not answered in full, such as `request_id=r1 stage=read
+// read_after_term_ms=12 ...`; times in ms, -1 for what did not happen.
+std::string LogFields(const OpenRequest& request, std::chrono::steady_clock::time_point now,
+                      std::chrono::steady_clock::time_point term_at);
+
 class OpenRequests {
  public:
   // Owned by the request's flow: a flow may outlive this registry, when the process ends.
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -3,6 +3,8 @@
 // Routes, plain requests, answers. generation_flow.cpp: services with engines.
 #include "data_plane/request_flow.h"
 
+#include <spdlog/spdlog.h>
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -62,9 +64,10 @@
     : state_(state),
       client_(client),
       arrived_(steady_clock::now()),
-      open_(
-          state.open_requests.Add({std::string(client.request()["Request-Id"]), arrived_,
-                                   client.requests_read() - 1, RequestStage::kRead, [this] { Conclude(); }})),
+      open_(state.open_requests.Add({.id = std::string(client.request()["Request-Id"]),
+                                     .read_at = arrived_,
+                                     .earlier_on_connection = client.requests_read() - 1,
+                                     .conclude = [this] { Conclude(); }})),
       routes_(state.routes) {}
 
 Awaitable<void> RequestFlow::Run() {
@@ -84,6 +87,7 @@
   const bool generates = service != nullptr && service->engine.has_value();
   if (generates) {
     prompt_ = ParsePrompt(request()["Token-Count"], request()["Prompt-Prefix"]);
+    open_->output_tokens = prompt_.output_tokens;
     co_await RunGeneration();
   } else {
     co_await RunPlain();
@@ -245,7 +249,7 @@
       co_return false;
     }
     const std::string events = piece.empty() ? events_.Rest() : events_.Take(piece);
-    if (!events.empty()) open_->stage = RequestStage::kAnswerBegun;
+    if (!events.empty()) NoteEvents();
     if (!events.empty() && co_await client_.WritePiece(events)) {
       client_.Close();
       break;
@@ -260,6 +264,13 @@
   co_return true;
 }
 
+void RequestFlow::NoteEvents() {
+  const auto now = steady_clock::now();
+  open_->stage = RequestStage::kAnswerBegun;
+  if (!open_->first_event_at) open_->first_event_at = now;
+  open_->last_event_at = now;
+}
+
 Awaitable<void> RequestFlow::Refuse(milliseconds retry_after) {
   ++state_.counters.refused;
   std::array<char, 32> text{};
@@ -274,6 +285,10 @@
   if (client_.pieces_begun()) {
     ++state_.counters.cut;
     cut_ = true;
+    if (state_.drain.begun()) {
+      spdlog::warn("answer cut while stopping {}",
+                   LogFields(*open_, steady_clock::now(), state_.drain.began()));
+    }
     client_.Close();
     co_return;
   }
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -51,6 +51,8 @@
   Awaitable<void> PassOnWhole(Attempt& attempt);
   Awaitable<bool> PassOnStream(Attempt& attempt);
   Awaitable<void> ResumeStream();
+  // Events of its answer go on to the client.
+  void NoteEvents();
   // Whether it may be sent again after an attempt without an answer; that backend is done without.
   bool MayTryAgain(AttemptEnd end, const Backend& backend);
   bool MayRunAgain() const;
