A stopping proxy takes a stream only if it should end in time; gateways stay with it

Cause: the drain took whatever came for 2.6 s, and compared nothing with the time that was left; a stream that was longer was cut at the exit. The gateway beside a proxy ended at SIGTERM at once and was back half a second later, in the middle of the drain. A gateway sends callers on until the grace is nearly over.

--- a/src/control_plane/control_gateway.cpp
+++ b/src/control_plane/control_gateway.cpp
@@ -16,7 +16,8 @@
 constexpr milliseconds kMemberPatience{250};  // for the answer of one member
 constexpr milliseconds kCallPatience{900};    // callers go on elsewhere after a second
 constexpr milliseconds kKnownEvery{1000};     // makes itself known to members
-constexpr milliseconds kExitMargin{500};      // before `grace_s` is over
+constexpr milliseconds kDraining{250};        // for answers that are under way at the end
+constexpr milliseconds kExitMargin{350};      // before `grace_s` is over, as a proxy's
 
 milliseconds Now() {
   return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
@@ -71,13 +72,21 @@
 }
 
 void ControlGateway::Leave(std::function<void()> done) {
-  if (std::exchange(stopping_, true)) return;
-  refresh_.cancel();
+  if (std::exchange(leaving_, true)) return;
+  server_.AnnounceClose();
   asio::co_spawn(io_, Stop(std::move(done)), asio::detached);
 }
 
+// The proxy beside it drains for as long, and callers come until the platform has seen it: a process that
+// holds nothing has no reason to go before them.
 Awaitable<void> ControlGateway::Stop(std::function<void()> done) {
-  co_await server_.Drain(steady_clock::now() + settings_.bounds.grace - kExitMargin);
+  const auto exit_at = steady_clock::now() + settings_.bounds.grace - kExitMargin;
+  answers_until_ = exit_at - kDraining;
+  asio::steady_timer serving_on(io_, answers_until_);
+  co_await serving_on.async_wait(kTuple);
+  stopping_ = true;
+  refresh_.cancel();
+  co_await server_.Drain(exit_at);
   done();
 }
 
@@ -107,7 +116,7 @@
 }
 
 Awaitable<std::string> ControlGateway::FindMember() {
-  const auto until = steady_clock::now() + kCallPatience;
+  const auto until = std::min(answers_until_, steady_clock::now() + kCallPatience);
   while (steady_clock::now() < until) {
     if (const auto leader = directory_.Leader(Now())) co_return *leader;
     const std::string member = directory_.NextToAsk();
@@ -125,7 +134,7 @@
 Awaitable<std::optional<MembersReport>> ControlGateway::AskMember(std::string member) {
   Request request(bhttp::verb::get, "/-/members", 11);
   request.set(bhttp::field::host, member);
-  const auto until = steady_clock::now() + kMemberPatience;
+  const auto until = std::min(answers_until_, steady_clock::now() + kMemberPatience);
   const node::Endpoint place{member, control_port_};  // GCC 12 frees such a temporary of a co_await twice
   const auto response = co_await Exchange(io_, place, std::move(request), until);
   if (!response || response->result() != bhttp::status::ok) co_return std::nullopt;
--- a/src/control_plane/control_gateway.h
+++ b/src/control_plane/control_gateway.h
@@ -23,7 +23,7 @@
   ControlGateway(http::asio::io_context& io, const node::Settings& settings);
 
   std::error_code Start();
-  // Answers what was read; `done` is called when the process may end.
+  // Sends callers on until the grace is nearly over, answers what was read, and calls `done`.
   void Leave(std::function<void()> done);
 
  private:
@@ -44,7 +44,9 @@
   mesh::Mesh mesh_;
   http::ApiServer server_;
   http::asio::steady_timer refresh_;
-  bool stopping_ = false;
+  bool leaving_ = false;   // SIGTERM came
+  bool stopping_ = false;  // and the grace is nearly over
+  http::steady_clock::time_point answers_until_ = http::steady_clock::time_point::max();
 };
 
 }  // namespace kestrelline::control_plane
--- a/src/data_plane/drain_schedule.h
+++ b/src/data_plane/drain_schedule.h
@@ -6,8 +6,9 @@
 // SIGTERM, so the schedule counts back from there:
 //
 //   SIGTERM       serve_on_until          conclude_at       exit_at   SIGKILL
-//      |  takes all     |  takes what ends     |   answers     |         |
-//      |                |  by conclude_at      |   what is open|         |
+//      |  takes what is |  takes what must     |   answers     |         |
+//      |  likely to end |  end by conclude_at  |   what is open|         |
+//      |  by conclude_at|                      |               |         |
 //
 // New connections come until the platform has seen two refusals, a second apart, of the readiness address.
 #ifndef KESTRELLINE_DATA_PLANE_DRAIN_SCHEDULE_H_
@@ -48,9 +49,11 @@
 
   // Whether new connections are accepted and idle ones kept.
   bool ServesOn(Clock::time_point now) const { return !began_ || now < ServeOnUntil(); }
-  // Whether a request that is whole now is taken on; `latest_end` is when it is given up at the latest.
-  bool Admits(Clock::time_point now, Clock::time_point latest_end) const {
-    return ServesOn(now) || latest_end <= ConcludeAt();
+  // Whether a request that is whole now is taken on. `likely_end`: when its answer should be whole, by the
+  // longest of late; `latest_end`: when it is given up at the latest.
+  bool Admits(Clock::time_point now, Clock::time_point likely_end, Clock::time_point latest_end) const {
+    if (!began_) return true;
+    return (ServesOn(now) ? likely_end : latest_end) <= ConcludeAt();
   }
   // When work on a request ends at the latest. What has no answer by the conclusion is answered then; a
   // stream that has begun may go on until the exit.
--- a/src/data_plane/open_requests.cpp
+++ b/src/data_plane/open_requests.cpp
@@ -37,10 +37,10 @@
       request.last_event_at ? MillisecondsBetween(*request.last_event_at, now) : kNever;
   return fmt::format(
       "request_id={} stage={} read_after_term_ms={} open_ms={} earlier_on_connection={} output_tokens={} "
-      "first_event_ms={} silent_ms={}",
+      "first_event_ms={} events={} silent_ms={}",
       request.id, Name(request.stage), MillisecondsBetween(term_at, request.read_at),
       MillisecondsBetween(request.read_at, now), request.earlier_on_connection, request.output_tokens,
-      MillisecondsBetween(request.read_at, request.first_event_at), silent);
+      MillisecondsBetween(request.read_at, request.first_event_at), request.events, silent);
 }
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/open_requests.h
+++ b/src/data_plane/open_requests.h
@@ -31,9 +31,10 @@
   std::size_t earlier_on_connection = 0;  // requests that were read on the same connection before
   RequestStage stage = RequestStage::kRead;
   std::int64_t output_tokens = 0;  // that its `Token-Count` announces
-  std::optional<std::chrono::steady_clock::time_point> first_event_at =
-      std::nullopt;  // of its answer, passed on
+  // Events of its answer, as they went on to the client.
+  std::optional<std::chrono::steady_clock::time_point> first_event_at = std::nullopt;
   std::optional<std::chrono::steady_clock::time_point> last_event_at = std::nullopt;
+  int events = 0;  // those that came together count as one
   // Answers it now, with an error if there is nothing else; an answer that has begun goes on.
   std::function<void()> conclude;
 };
--- a/tests/data_plane/drain_schedule_test.cpp
+++ b/tests/data_plane/drain_schedule_test.cpp
@@ -23,7 +23,7 @@
 TEST(DrainSchedule, BeforeSigtermEverythingIsTaken) {
   const DrainSchedule schedule(kGrace);
   EXPECT_TRUE(schedule.ServesOn(At(0)));
-  EXPECT_TRUE(schedule.Admits(At(0), At(600000)));
+  EXPECT_TRUE(schedule.Admits(At(0), At(600000), At(600000)));
   EXPECT_EQ(schedule.Bound(At(600000)), At(600000));
   EXPECT_FALSE(schedule.Concludes(At(0)));
   EXPECT_FALSE(schedule.Exits(At(0)));
@@ -33,14 +33,22 @@
   const DrainSchedule schedule = Begun();
   EXPECT_TRUE(schedule.ServesOn(At(2599)));
   EXPECT_FALSE(schedule.ServesOn(At(2600)));
-  EXPECT_TRUE(schedule.Admits(At(2599), At(9000)));
+  EXPECT_TRUE(schedule.Admits(At(2599), At(7350), At(9000)));
+}
+
+// A stream that lasts past the exit is cut there, however early it came.
+TEST(DrainSchedule, WhatShouldLastLongerThanIsLeftIsNotTakenFromSigtermOn) {
+  const DrainSchedule schedule = Begun();
+  EXPECT_FALSE(schedule.Admits(At(2599), At(7351), At(9000)));
+  EXPECT_FALSE(schedule.Admits(At(0), At(7351), At(10000)));
+  EXPECT_TRUE(schedule.Admits(At(0), At(7350), At(10000)));
 }
 
 TEST(DrainSchedule, AfterThatOnlyWhatEndsInTimeIsTaken) {
   const DrainSchedule schedule = Begun();
-  EXPECT_TRUE(schedule.Admits(At(2600), At(7350)));
-  EXPECT_FALSE(schedule.Admits(At(2600), At(7351)));
-  EXPECT_FALSE(schedule.Admits(At(7400), At(7401)));
+  EXPECT_TRUE(schedule.Admits(At(2600), At(3000), At(7350)));
+  EXPECT_FALSE(schedule.Admits(At(2600), At(3000), At(7351)));
+  EXPECT_FALSE(schedule.Admits(At(7400), At(7401), At(7401)));
 }
 
 // What was admitted is bounded by the time at which open requests are concluded, which lies before the exit.
@@ -49,7 +57,7 @@
     const DrainSchedule schedule = Begun(milliseconds(grace));
     for (int now = 0; now <= grace; now += 50) {
       for (int latest_end = now; latest_end < now + 20000; latest_end += 500) {
-        if (!schedule.Admits(At(now), At(latest_end))) continue;
+        if (!schedule.Admits(At(now), At(latest_end), At(latest_end))) continue;
         const auto bound = schedule.Bound(At(latest_end));
         EXPECT_TRUE(schedule.Concludes(bound) || bound == At(latest_end));
         EXPECT_LE(bound, At(grace - std::min(350, grace / 12)));
