--- a/src/control_plane/control_gateway.cpp
+++ b/src/control_plane/control_gateway.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "http/sockets.h"
+#include "json/list.h"
 
 namespace kestrelline::control_plane {
 namespace {
@@ -24,10 +25,8 @@
 }
 
 std::vector<std::string> SeedsOf(const node::Settings& settings) {
-  std::vector<std::string> seeds;
-  for (const node::Endpoint& seed : settings.seeds) {
-    if (seed.ip != settings.ip) seeds.push_back(seed.ip);
-  }
+  std::vector<std::string> seeds = settings.SeedIps();
+  std::erase(seeds, settings.ip);
   return seeds;
 }
 
@@ -108,11 +107,9 @@
 
 // As a member tells it: gateways ask one another too.
 ApiResponse ControlGateway::Members() const {
-  std::string members;
-  for (const std::string& member : directory_.members())
-    members += (members.empty() ? "\"" : ",\"") + member + "\"";
-  return JsonResponse(bhttp::status::ok, R"({"members":[)" + members + R"(],"leader":")" +
-                                             directory_.Leader(Now()).value_or("") + R"("})");
+  return JsonResponse(bhttp::status::ok, R"({"members":)" + json::List(directory_.members()) +
+                                             R"(,"leader":")" + directory_.Leader(Now()).value_or("") +
+                                             R"("})");
 }
 
 Awaitable<std::string> ControlGateway::FindMember() {
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -10,6 +10,7 @@
 
 #include "configuration/patch.h"
 #include "control_plane/stage_orders.h"
+#include "json/list.h"
 
 namespace kestrelline::control_plane {
 namespace {
@@ -38,18 +39,12 @@
   options.bootstrap = settings.bootstrap;
   options.counts_for_quorum = settings.counts_for_quorum;
   options.tolerated = std::max(settings.fault_tolerance.machines, settings.fault_tolerance.zones);
-  for (const node::Endpoint& seed : settings.seeds) options.seeds.push_back(seed.ip);
+  options.seeds = settings.SeedIps();
   options.leave_patience = std::min(options.leave_patience, settings.bounds.grace - kDrainReserve);
   options.random_seed = std::random_device{}();
   return options;
 }
 
-std::string JsonList(const std::vector<std::string>& texts) {
-  std::string list;
-  for (const std::string& text : texts) list += (list.empty() ? "\"" : ",\"") + text + "\"";
-  return "[" + list + "]";
-}
-
 Stored LoadFrom(Store* store) { return store ? store->Load() : Stored{}; }
 
 }  // namespace
@@ -132,7 +127,7 @@
   const wire::RecordPtr record = replica_.committed();
   const wire::Record none;
   const wire::Record& known = record ? *record : none;
-  return "{\"members\":" + JsonList(known.members) + ",\"next_members\":" + JsonList(known.next_members) +
+  return "{\"members\":" + json::List(known.members) + ",\"next_members\":" + json::List(known.next_members) +
          ",\"leader\":\"" + replica_.leader() + "\",\"epoch\":" + std::to_string(replica_.epoch()) + "}";
 }
 
@@ -142,7 +137,7 @@
          "\",\"epoch\":" + std::to_string(replica_.epoch()) + ",\"leads\":" + (Leads() ? "true" : "false") +
          ",\"leader\":\"" + replica_.leader() +
          "\",\"version\":" + std::to_string(record ? record->version : 0) +
-         ",\"members\":" + JsonList(record ? record->members : std::vector<std::string>()) +
+         ",\"members\":" + json::List(record ? record->members : std::vector<std::string>()) +
          ",\"proxies\":" + std::to_string(replica_.proxies()) +
          ",\"backends\":" + std::to_string(instances_ ? instances_->instances.size() : 0) + "}";
 }
@@ -198,7 +193,7 @@
   next_tell_gateways_ = Now() + kTellGatewaysEvery;
   const std::vector<std::string> members = replica_.KnownNodes();
   std::set<std::string> told = gateways_;
-  for (const node::Endpoint& seed : settings_.seeds) told.insert(seed.ip);
+  for (const std::string& seed : settings_.SeedIps()) told.insert(seed);
   for (const std::string& member : members) told.erase(member);
   told.erase(settings_.ip);
   if (told.empty()) return;
--- a/src/data_plane/subscriber.cpp
+++ b/src/data_plane/subscriber.cpp
@@ -15,12 +15,6 @@
   return std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
 }
 
-std::vector<std::string> SeedsOf(const node::Settings& settings) {
-  std::vector<std::string> seeds;
-  for (const node::Endpoint& seed : settings.seeds) seeds.push_back(seed.ip);
-  return seeds;
-}
-
 }  // namespace
 
 Subscriber::Subscriber(asio::io_context& io, const node::Settings& settings, std::function<Have()> have,
@@ -32,7 +26,7 @@
       on_loads_(std::move(on_loads)),
       traffic_(std::move(traffic)),
       name_(node::ToText(settings.RelayEndpoint())),
-      subscription_(name_, SeedsOf(settings), std::random_device{}()) {}
+      subscription_(name_, settings.SeedIps(), std::random_device{}()) {}
 
 void Subscriber::Start() { Next(); }
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -188,6 +188,12 @@
 
 std::string ToText(const Endpoint& endpoint) { return endpoint.ip + ":" + std::to_string(endpoint.port); }
 
+std::vector<std::string> Settings::SeedIps() const {
+  std::vector<std::string> ips;
+  for (const Endpoint& seed : seeds) ips.push_back(seed.ip);
+  return ips;
+}
+
 Endpoint Settings::RelayEndpoint() const {
   return {ip, static_cast<std::uint16_t>(first_port < last_port ? first_port + 1 : first_port)};
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -80,6 +80,8 @@
   std::size_t most_subscribers = 24;  // of a member, or of a proxy that passes on; [relay] of the file
 
   bool Serves(const std::string& interface) const;
+  // The addresses of `seeds`, in their order.
+  std::vector<std::string> SeedIps() const;
   // Where a member of the control plane listens for the internal protocol, on any machine.
   Endpoint MemberEndpoint() const { return {ip, first_port}; }
   // Where a proxy listens that passes on what it is told: beside a member on the same machine.
