--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -194,6 +194,17 @@
     for (int i = 0; i < sizes_.cores; ++i) Spawn("core" + std::to_string(i), "core", CoreSettings(i));
     for (int i = 0; i < sizes_.edges; ++i) Spawn("edge" + std::to_string(i), "edge", EdgeSettings(i));
   }
+  pid_t EdgePid(int edge) const { return pids_[static_cast<std::size_t>(sizes_.cores + edge)]; }
+  // Kills a proxy and starts it again with its settings. Called by the thread that called StartProcesses.
+  void RestartEdge(int edge, int pause_ms) {
+    pid_t& pid = pids_[static_cast<std::size_t>(sizes_.cores + edge)];
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    Sleep(pause_ms);
+    Spawn("edge" + std::to_string(edge), "edge", EdgeSettings(edge));
+    pid = pids_.back();
+    pids_.pop_back();
+  }
   void Stop() {
     for (const pid_t pid : pids_) kill(pid, SIGKILL);
     for (const pid_t pid : pids_) waitpid(pid, nullptr, 0);
