--- a/review/common/retry_burst.cpp
+++ b/review/common/retry_burst.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Case: clients come at 1.9 times the usual rate for 10 s, twice, to a service that the usual rate nearly
-// fills. Usage: retry_burst PROGRAM FOLDER RECORD TROUBLE
+// Case: clients come at 1.9 times the usual rate for 10 s, three times, to a service that the usual rate
+// nearly fills. Usage: retry_burst PROGRAM FOLDER RECORD TROUBLE
 #include <atomic>
+#include <cmath>
 #include <cstdio>
 
 #include "fleet.h"
@@ -14,9 +15,10 @@
 constexpr double kUsualPerS = 75;
 constexpr double kBurstFactor = 1.9;  // the site's `burst`: x = 1.9, for_s = 10.0
 constexpr double kBurstS = 10;
-// Two bursts, half of an eighth of the budget's window apart in phase, so that the outcome does not hang on
+// Bursts, a third of an eighth of the budget's window apart in phase, so that the outcome does not hang on
 // how they fall against the proxies' clocks.
-constexpr double kFirstBurstS = 12, kSecondBurstS = 35.125, kLengthS = 48;
+constexpr double kFirstBurstS = 12, kBetweenBurstsS = 10 + 8.33 * 1.25, kLengthS = 67;
+constexpr int kBursts = 3;
 constexpr int kBackends = 6, kSlots = 4, kQueue = 4, kWorkMs = 300;  // 80 a second
 constexpr double kRatio = 0.2, kMinRetries = 56, kWindowS = 10;      // of [bounds]
 constexpr int kWorkers = 400;
@@ -63,8 +65,10 @@
   std::vector<double> times;
   for (double at = 0; at < kLengthS;) {
     times.push_back(start + at);
-    const bool burst = trouble && ((at >= kFirstBurstS && at < kFirstBurstS + kBurstS) ||
-                                   (at >= kSecondBurstS && at < kSecondBurstS + kBurstS));
+    const double since_first = at - kFirstBurstS;
+    const bool within = since_first >= 0 && since_first < kBursts * kBetweenBurstsS &&
+                        std::fmod(since_first, kBetweenBurstsS) < kBurstS;
+    const bool burst = trouble && within;
     at += 1 / (kUsualPerS * (burst ? kBurstFactor : 1));
   }
   std::atomic<std::size_t> next{0};
