--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -12,6 +12,8 @@
 #include <sys/wait.h>
 
 #include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -156,26 +158,25 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  // Chooses a network of loopback addresses on which every port that is needed is free.
+  // Chooses two networks of loopback addresses on which every port that is needed is free.
   bool ChooseNetwork() {
     for (int attempt = 0; attempt < 50; ++attempt) {
-      network_ = "127." + std::to_string(20 + (getpid() + attempt * 7) % 200) + "." +
-                 std::to_string((getpid() / 200 + attempt) % 250) + ".";
+      const std::string first = "127." + std::to_string(20 + (getpid() + attempt * 7) % 200) + ".";
+      const int second = 2 * ((getpid() / 200 + attempt) % 120);
+      network_ = first + std::to_string(second) + ".";
+      edge_network_ = first + std::to_string(second + 1) + ".";
       bool free = true;
-      for (int host = 1; host <= 60 && free; ++host) {
-        for (const std::uint16_t port : {kFront, kControl, kReady, kPlatform, kBackend, kInternal, kRelay}) {
-          const int fd = Listen({network_ + std::to_string(host), port});
-          free = free && fd >= 0;
-          if (fd >= 0) close(fd);
-        }
-      }
+      for (int host = 1; host <= 60 && free; ++host)
+        free = AreFree(network_ + std::to_string(host), {kControl, kPlatform, kBackend, kInternal});
+      for (int edge = 0; edge < sizes_.edges && free; ++edge)
+        free = AreFree(Front(edge).ip, {kFront, kReady, kInternal, kRelay});
       if (free) return true;
     }
     return false;
   }
   Address Control(int core) const { return {network_ + std::to_string(1 + core), kControl}; }
-  Address Front(int edge) const { return {network_ + std::to_string(11 + edge), kFront}; }
-  Address Ready(int edge) const { return {network_ + std::to_string(11 + edge), kReady}; }
+  Address Front(int edge) const { return {edge_network_ + std::to_string(1 + edge), kFront}; }
+  Address Ready(int edge) const { return {edge_network_ + std::to_string(1 + edge), kReady}; }
   Address BackendAddress(int index) const { return {network_ + std::to_string(31 + index), kBackend}; }
   const Sizes& sizes() const { return sizes_; }
 
@@ -211,6 +212,13 @@
     pids_.clear();
   }
 
+  // Ends the processes, then this one. The stand-ins' threads still run, so nothing is destroyed.
+  [[noreturn]] void End(int code) {
+    Stop();
+    std::fflush(nullptr);
+    std::_Exit(code);
+  }
+
   // One call on a new connection.
   static std::optional<Message> Call(const Address& address, const std::string& bytes, int timeout_ms) {
     const int fd = Connect(address);
@@ -258,6 +266,15 @@
   }
 
  private:
+  static bool AreFree(const std::string& ip, const std::vector<std::uint16_t>& ports) {
+    for (const std::uint16_t port : ports) {
+      const int fd = Listen({ip, port});
+      if (fd < 0) return false;
+      close(fd);
+    }
+    return true;
+  }
+
   static constexpr std::uint16_t kFront = 8161, kControl = 8166, kReady = 8167, kPlatform = 8169,
                                  kBackend = 8080, kInternal = 7720, kRelay = 7721;
 
@@ -318,7 +335,7 @@
 
   const std::string program_, folder_;
   const Sizes sizes_;
-  std::string network_;
+  std::string network_, edge_network_;
   std::vector<pid_t> pids_;
 };
 
--- a/review/common/many_uploads.cpp
+++ b/review/common/many_uploads.cpp
@@ -150,7 +150,7 @@
   }
   record.Line(verdict);
   std::puts(verdict.c_str());
-  return often >= 2 ? 1 : 0;
+  fleet.End(often >= 2 ? 1 : 0);
 }
 
 }  // namespace
--- a/review/common/old_limits.cpp
+++ b/review/common/old_limits.cpp
@@ -120,8 +120,7 @@
                               std::to_string(fresh_refused) + "; other failures " + std::to_string(other);
   record.Line(verdict);
   std::puts(verdict.c_str());
-  if (refused > 0) return 1;
-  return other > 0 ? 2 : 0;
+  fleet.End(refused > 0 ? 1 : other > 0 ? 2 : 0);
 }
 
 }  // namespace
--- a/review/common/retry_burst.cpp
+++ b/review/common/retry_burst.cpp
@@ -132,7 +132,7 @@
       worst_allowed);
   record.Line(verdict);
   std::puts(verdict);
-  return worst_over > 0 ? 1 : 0;
+  fleet.End(worst_over > 0 ? 1 : 0);
 }
 
 }  // namespace
