--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -310,6 +310,7 @@
   std::vector<std::string> seeds;  // IP addresses
   bool bootstrap = true;
   std::string cloud;
+  bool grown = false;  // five core machines, of which two may be lost, and their bounds
   Process process;
 
   std::string File() const { return folder + "/" + name + ".toml"; }
@@ -337,12 +338,15 @@
       file << "control = \"" << ip << ":" << kControlPort << "\"\n";
     }
     file << "[limits]\ncpu_share = 0.5\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\n"
-         << "disk_mb = " << (disk ? 128 : 0) << "\n[fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
-         << "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4\n"
-         << "drain_ms = 3000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = 2000\nrollback_slack_ms = "
-            "250\n"
-         << "max_skew_ms = 5000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nmin_retries = 58\n"
-         << "recovery_s = 12\ntransit_ms = 120\nagain_s = 8\nfencing = true\nlease_ms = 3000\nthaw_ms = 300\n"
+         << "disk_mb = " << (disk ? 128 : 0) << "\n[fault_tolerance]\nmachines = " << (grown ? 2 : 1)
+         << "\nzones = 0\nregions = 0\n[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = "
+         << (grown ? 4000 : 3000) << "\nack_ms = " << (grown ? 5000 : 4000)
+         << "\ncatch_up_s = " << (grown ? 6 : 4) << "\ndrain_ms = " << (grown ? 4000 : 3000)
+         << "\ngrace_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = " << (grown ? 2500 : 2000)
+         << "\nrollback_slack_ms = 250\nmax_skew_ms = " << (grown ? 6000 : 5000)
+         << "\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nmin_retries = " << (grown ? 176 : 58)
+         << "\nrecovery_s = " << (grown ? 15 : 12) << "\ntransit_ms = " << (grown ? 200 : 120)
+         << "\nagain_s = 8\nfencing = true\nlease_ms = 3000\nthaw_ms = 300\n"
          << "[cloud]\naddress = \"" << cloud << ":" << kCloudPort << "\"\nrate_per_s = 47.0\nduties = []\n"
          << "max_lag_ms = 800\n";
     file.close();
