--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -591,6 +591,8 @@
 
 // --- a run ---
 
+inline std::string run_folder;  // removed at the end, unless KEEP is set
+
 // Where a run keeps its files, and addresses that nobody uses.
 class Place {
  public:
@@ -599,6 +601,7 @@
     signal(SIGPIPE, SIG_IGN);
     folder_ = std::filesystem::temp_directory_path() / ("review-2." + std::to_string(getpid()));
     std::filesystem::create_directories(folder_);
+    run_folder = folder_.string();
     std::random_device random;
     for (int tries = 0; tries < 50; ++tries) {
       network_ =
@@ -606,10 +609,6 @@
       if (Free(network_ + "11", kControlPort) && Free(network_ + "21", kFrontPort)) return;
     }
   }
-  ~Place() {
-    std::error_code ignored;
-    if (std::getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_, ignored);
-  }
   std::string Ip(int number) const { return network_ + std::to_string(number); }
   std::string folder() const { return folder_.string(); }
 
@@ -637,8 +636,10 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-// Leaves without waiting for the threads of the stand-ins. The processes have been ended before.
+// Leaves without waiting for the threads of the stand-ins. Processes that run still end with this one.
 [[noreturn]] inline void Leave(int verdict, const std::string& why) {
+  std::error_code ignored;
+  if (std::getenv("KEEP") == nullptr && !run_folder.empty()) std::filesystem::remove_all(run_folder, ignored);
   record.Line("verdict %d: %s", verdict, why.c_str());
   std::printf("%d %s\n", verdict, why.c_str());
   std::fflush(stdout);
