--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -552,11 +552,20 @@
       const int server = Connect(to_ip, to_port, 0.5);
       if (server < 0) return Reset(client);
       ++connections_;
-      Pump(client, server);
+      if (told_ >= 0 && write(told_, "c", 1) != 1) std::abort();
+      const bool by_client = Pump(client, server);
+      if (by_client && silent_) return;  // the server's side stays open
+      if (resets_ > 0) Reset(client), Reset(server);
       close(server);
     });
   }
   void Cut(bool cut) { cut_ = cut; }
+  // From now on the server is not told that a client has gone, as by a machine without power.
+  void SetSilent(bool silent) { silent_ = silent; }
+  // A byte is written there for each connection that is passed on.
+  void Tell(int fd) { told_ = fd; }
+  // Resets the connections that are open.
+  void ResetAll() { ++resets_; }
   int connections() const { return connections_; }  // that were passed on
   long bytes() const { return bytes_; }
 
@@ -565,9 +574,11 @@
     const linger now{1, 0};
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
   }
-  void Pump(int client, int server) {
+  // Returns whether the client ended it.
+  bool Pump(int client, int server) {
     char bytes[16384];
-    while (true) {
+    const int resets = resets_;
+    while (resets == resets_) {
       pollfd pollers[2] = {{client, POLLIN, 0}, {server, POLLIN, 0}};
       if (cut_) {
         Sleep(0.02);
@@ -577,18 +588,63 @@
       for (int side = 0; side < 2; ++side) {
         if (pollers[side].revents == 0) continue;
         const ssize_t count = recv(pollers[side].fd, bytes, sizeof bytes, 0);
-        if (count <= 0) return;
+        if (count <= 0) return side == 0;
         bytes_ += count;
-        if (!SendAll(pollers[1 - side].fd, std::string(bytes, static_cast<std::size_t>(count)))) return;
+        if (!SendAll(pollers[1 - side].fd, std::string(bytes, static_cast<std::size_t>(count))))
+          return side == 1;
       }
     }
+    return false;
   }
 
   std::atomic<bool> cut_{false};
+  std::atomic<bool> silent_{false};
+  std::atomic<int> resets_{0};
+  std::atomic<int> told_{-1};
   std::atomic<int> connections_{0};
   std::atomic<long> bytes_{0};
 };
 
+// A link in a process of its own, which keeps the server's side of connections open when a client has gone
+// silently. Start it before any thread.
+class LinkProcess {
+ public:
+  void Start(const std::string& ip, int port, int to_port, bool silent) {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) return;
+    told_ = ends[0];
+    fcntl(told_, F_SETFL, O_NONBLOCK);
+    pid_ = fork();
+    if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      Link link;
+      link.SetSilent(silent);
+      link.Tell(ends[1]);
+      if (!link.Listen(ip, port, ip, to_port)) _exit(1);
+      while (true) pause();
+    }
+    close(ends[1]);
+  }
+  // How many connections it has passed on since it started.
+  int Connections() {
+    char bytes[256];
+    ssize_t count = 0;
+    while ((count = read(told_, bytes, sizeof bytes)) > 0) connections_ += static_cast<int>(count);
+    return connections_;
+  }
+  void End() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+  }
+
+ private:
+  pid_t pid_ = -1;
+  int told_ = -1;
+  int connections_ = 0;
+};
+
 // --- a run ---
 
 inline std::string run_folder;  // removed at the end, unless KEEP is set
