--- a/src/control_plane/control_gateway.cpp
+++ b/src/control_plane/control_gateway.cpp
@@ -52,6 +52,10 @@
   return {};
 }
 
+void ControlGateway::UpdateSeeds(const node::Settings& settings) {
+  directory_.SetSeeds(OtherSeeds(settings));
+}
+
 wire::Referral ControlGateway::KnownMembers() const {
   return {{}, directory_.members(), directory_.Leader(Now()).value_or("")};
 }
@@ -141,13 +145,21 @@
 
 Awaitable<void> ControlGateway::AnnounceToMembers() {
   while (!stopping_) {
-    std::vector<std::string> recipients = directory_.members();
-    if (recipients.empty()) recipients = OtherSeeds(settings_);
     const mesh::Frame frame = mesh_.Encode(KnownMembers());
-    for (const std::string& member : recipients) mesh_.Send(member, frame);
+    for (const std::string& node : AnnouncementRecipients()) mesh_.Send(node, frame);
     refresh_.expires_after(kAnnounceInterval);
     co_await refresh_.async_wait(kTuple);
   }
 }
 
+// The members; and the seeds while no member reports a leader, since all members known here may be gone.
+std::vector<std::string> ControlGateway::AnnouncementRecipients() const {
+  std::vector<std::string> recipients = directory_.members();
+  if (directory_.Leader(Now())) return recipients;
+  for (const std::string& seed : directory_.seeds()) {
+    if (std::find(recipients.begin(), recipients.end(), seed) == recipients.end()) recipients.push_back(seed);
+  }
+  return recipients;
+}
+
 }  // namespace kestrelline::control_plane
--- a/src/control_plane/control_gateway.h
+++ b/src/control_plane/control_gateway.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "control_plane/member_directory.h"
 #include "http/api_server.h"
@@ -23,6 +24,8 @@
   ControlGateway(http::asio::io_context& io, const node::Settings& settings);
 
   std::error_code Start();
+  // Takes over the seeds of changed settings. All other settings apply from the next start on.
+  void UpdateSeeds(const node::Settings& settings);
   // Keeps redirecting until the grace period is nearly over, answers the requests that were read, then calls
   // `done`.
   void Leave(std::function<void()> done);
@@ -36,6 +39,7 @@
   http::Awaitable<std::string> FindMember();
   http::Awaitable<std::optional<MembersReport>> AskMember(std::string member);
   http::Awaitable<void> AnnounceToMembers();
+  std::vector<std::string> AnnouncementRecipients() const;
   http::Awaitable<void> Stop(std::function<void()> done);
 
   http::asio::io_context& io_;
--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -54,6 +54,7 @@
 ControlNode::ControlNode(asio::io_context& io, const node::Settings& settings, std::unique_ptr<Store> store)
     : io_(io),
       settings_(settings),
+      seeds_(settings.SeedIps()),
       mesh_(io, settings.ip, settings.MemberEndpoint(), traffic_),
       replica_(OptionsOf(settings), LoadState(store.get()), Now()),
       publisher_(mesh_, settings.max_subscribers),
@@ -85,6 +86,11 @@
   return {};
 }
 
+void ControlNode::UpdateSeeds(const node::Settings& settings) {
+  seeds_ = settings.SeedIps();
+  replica_.AddKnownNodes(seeds_);
+}
+
 void ControlNode::Leave(std::function<void()> done) {
   if (on_left_ || stopping_) return;
   on_left_ = std::move(done);
@@ -195,8 +201,8 @@
   if (Now() < next_gateway_update_ || !replica_.committed()) return;
   next_gateway_update_ = Now() + kGatewayUpdateInterval;
   const std::vector<std::string> members = replica_.KnownNodes();
-  std::set<std::string> recipients = gateways_;
-  for (const std::string& seed : settings_.SeedIps()) recipients.insert(seed);
+  std::set<std::string> recipients(seeds_.begin(), seeds_.end());
+  recipients.insert(gateways_.begin(), gateways_.end());
   for (const std::string& member : members) recipients.erase(member);
   recipients.erase(settings_.ip);
   if (recipients.empty()) return;
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <system_error>
+#include <vector>
 
 #include "control_plane/load_sharing.h"
 #include "control_plane/operator_api.h"
@@ -33,6 +34,8 @@
   ~ControlNode() override;
 
   std::error_code Start();
+  // Takes over the seeds of changed settings. All other settings apply from the next start on.
+  void UpdateSeeds(const node::Settings& settings);
   // Sets the callback for the operator's request to leave.
   void OnLeaveRequested(std::function<void()> requested) { on_leave_requested_ = std::move(requested); }
   // Leaves in an orderly way: a waiting member takes the seat first, and leadership is handed over. Calls
@@ -86,6 +89,7 @@
   http::asio::io_context& io_;
   const node::Settings settings_;
   const std::shared_ptr<mesh::Traffic> traffic_ = std::make_shared<mesh::Traffic>();
+  std::vector<std::string> seeds_;  // of the newest settings
   mesh::Mesh mesh_;
   Replica replica_;
   distribution::Publisher publisher_;
--- a/src/control_plane/member_directory.cpp
+++ b/src/control_plane/member_directory.cpp
@@ -42,6 +42,16 @@
   leader_reported_at_ = now;
   members_ = report.members;
   if (members_.size() > kMaxMembers) members_.resize(kMaxMembers);
+  RebuildNodes();
+}
+
+void MemberDirectory::SetSeeds(std::vector<std::string> seeds) {
+  seeds_ = std::move(seeds);
+  RebuildNodes();
+  next_ = members_.size();  // the first seed
+}
+
+void MemberDirectory::RebuildNodes() {
   nodes_ = members_;
   for (const std::string& seed : seeds_) {
     if (std::find(nodes_.begin(), nodes_.end(), seed) == nodes_.end()) nodes_.push_back(seed);
--- a/src/control_plane/member_directory.h
+++ b/src/control_plane/member_directory.h
@@ -30,6 +30,9 @@
 
   explicit MemberDirectory(std::vector<std::string> seeds);
 
+  // Replaces the seeds by those of changed settings; unknown ones are asked next.
+  void SetSeeds(std::vector<std::string> seeds);
+  const std::vector<std::string>& seeds() const { return seeds_; }
   // Members and seeds in rotation; empty if there are none.
   std::string NextNode();
   std::size_t size() const { return nodes_.size(); }
@@ -41,7 +44,9 @@
   const std::vector<std::string>& members() const { return members_; }
 
  private:
-  const std::vector<std::string> seeds_;
+  void RebuildNodes();
+
+  std::vector<std::string> seeds_;
   std::vector<std::string> members_;
   std::vector<std::string> nodes_;  // the latest reported members, then seeds that are not among them
   std::size_t next_ = 0;
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -41,7 +41,8 @@
   // Runs timeouts and periodic work; called every few tens of milliseconds.
   void Tick(Time now);
   void Receive(Time now, const std::string& from, const wire::Body& body);
-  // Adds members to learn from, as reported by a gateway (a control process without a disk).
+  // Adds members to learn from: seeds of changed settings, or members reported by a gateway (a control
+  // process without a disk).
   void AddKnownNodes(const std::vector<std::string>& members);
   // Completes the Persist effect with this ticket; `written` is false if the write failed.
   void Persisted(Time now, std::uint64_t ticket, bool written);
--- a/src/data_plane/edge_node.h
+++ b/src/data_plane/edge_node.h
@@ -35,6 +35,8 @@
   EdgeNode(http::asio::io_context& io, const node::Settings& settings, std::uint64_t seed);
 
   std::error_code Start();
+  // Takes over the seeds of changed settings. All other settings apply from the next start on.
+  void UpdateSeeds(const node::Settings& settings) { subscriber_.SetSeeds(settings.SeedIps()); }
   // Starts to drain: not ready from now on. Calls `done` when all requests read are answered or the grace
   // period is over.
   void Drain(std::function<void()> done);
--- a/src/data_plane/subscriber.h
+++ b/src/data_plane/subscriber.h
@@ -7,6 +7,9 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "data_plane/subscription.h"
 #include "http/asio.h"
@@ -37,6 +40,8 @@
   void Stop();
   // Call about every 100 ms. Leaves a member that is silent or out of contact with the quorum.
   void Tick();
+  // Replaces the seeds by those of changed settings.
+  void SetSeeds(std::vector<std::string> seeds) { subscription_.SetSeeds(std::move(seeds)); }
   // Subscribes again soon, because contents sent earlier are missing.
   void Renew() { subscription_.Renew(); }
   // Sends a report to the current member; dropped if not connected.
--- a/src/data_plane/subscription.cpp
+++ b/src/data_plane/subscription.cpp
@@ -7,12 +7,26 @@
 #include "safeguards/safeguards.h"
 
 namespace kestrelline::data_plane {
+namespace {
+
+bool Contains(const std::vector<std::string>& list, const std::string& entry) {
+  return std::find(list.begin(), list.end(), entry) != list.end();
+}
+
+}  // namespace
 
 Subscription::Subscription(std::string self, std::vector<std::string> seeds, std::uint64_t seed)
-    : self_(std::move(self)), random_(seed), peers_(std::move(seeds)), probes_(random_()) {
+    : self_(std::move(self)), random_(seed), seeds_(std::move(seeds)), peers_(seeds_), probes_(random_()) {
   std::shuffle(peers_.begin(), peers_.end(), random_);
 }
 
+void Subscription::SetSeeds(std::vector<std::string> seeds) {
+  seeds_ = std::move(seeds);
+  std::vector<std::string> shuffled = seeds_;
+  std::shuffle(shuffled.begin(), shuffled.end(), random_);
+  AddPeers(shuffled);
+}
+
 std::optional<std::string> Subscription::BeginAttempt(Time now) {
   attempt_started_at_ = now;
   fresh_ = false;
@@ -64,17 +78,32 @@
   last_publication_at_ = now;
   const std::optional<Time> confirmed_at = Enforced(Safeguard::kDateByProbe) ? composed_after : now;
   fresh_ = confirmed_at && publication.certain && now - *confirmed_at + Time(publication.age_ms) < kMaxAge;
+  if (fresh_) RemoveFormerMembers(publication.control_peers);
   AddPeers(publication.control_peers);
 }
 
-// Inserts unknown peers so that they are tried next.
+// Inserts unknown peers so that they are tried next. At the limit each replaces the peer whose turn is last.
 void Subscription::AddPeers(const std::vector<std::string>& peers) {
   for (const std::string& peer : peers) {
-    if (std::find(peers_.begin(), peers_.end(), peer) != peers_.end()) continue;
+    if (Contains(peers_, peer)) continue;
     if (!peers_.empty()) next_peer_ %= peers_.size();
+    if (peers_.size() >= kMaxPeers) RemovePeer((next_peer_ + peers_.size() - 1) % peers_.size());
     peers_.insert(peers_.begin() + static_cast<std::ptrdiff_t>(next_peer_), peer);
   }
-  if (peers_.size() > kMaxPeers) peers_.resize(kMaxPeers);
+}
+
+// Keeps the order in which the others are tried.
+void Subscription::RemovePeer(std::size_t index) {
+  next_peer_ %= peers_.size();
+  peers_.erase(peers_.begin() + static_cast<std::ptrdiff_t>(index));
+  if (index < next_peer_) --next_peer_;
+}
+
+void Subscription::RemoveFormerMembers(const std::vector<std::string>& members) {
+  if (members.empty()) return;
+  for (std::size_t index = peers_.size(); index-- > 0;) {
+    if (!Contains(members, peers_[index]) && !Contains(seeds_, peers_[index])) RemovePeer(index);
+  }
 }
 
 bool ConfigurationGate::IsNewer(std::uint64_t version) const {
--- a/src/data_plane/subscription.h
+++ b/src/data_plane/subscription.h
@@ -37,6 +37,9 @@
   // `self` is the name of this proxy; `seed` should be random.
   Subscription(std::string self, std::vector<std::string> seeds, std::uint64_t seed);
 
+  // Replaces the seeds, which are tried even if no member reports them. Unknown ones are tried next.
+  void SetSeeds(std::vector<std::string> seeds);
+
   // Starts an attempt: returns the peer to connect to, or nothing if none is known.
   std::optional<std::string> BeginAttempt(Time now);
   // Whether the current connection attempt has timed out.
@@ -63,9 +66,13 @@
  private:
   std::string NextPeer();
   void AddPeers(const std::vector<std::string>& peers);
+  void RemovePeer(std::size_t index);
+  // Forgets the peers that are neither seeds nor among `members`.
+  void RemoveFormerMembers(const std::vector<std::string>& members);
 
   const std::string self_;
   std::mt19937_64 random_;
+  std::vector<std::string> seeds_;
   std::vector<std::string> peers_;
   std::size_t next_peer_ = 0;
   std::vector<std::string> relays_;  // relaying proxies named by members at capacity
--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -20,6 +20,7 @@
 #include "data_plane/edge_node.h"
 #include "fleet_main/operator_client.h"
 #include "node/settings.h"
+#include "node/settings_watcher.h"
 
 namespace {
 
@@ -82,6 +83,23 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+// The settings of this process, and the file that they were read from.
+struct Configured {
+  std::string path;
+  std::string text;
+  Settings settings;
+};
+
+// Gives the seeds of changed settings to `node`.
+template <typename Node>
+kestrelline::node::SettingsWatcher WatcherFor(boost::asio::io_context& io, const Configured& configured,
+                                              Node& node) {
+  return {io, configured.path, configured.text, [&node](const Settings& changed) {
+            spdlog::info("settings changed seeds={}", changed.seeds.size());
+            node.UpdateSeeds(changed);
+          }};
+}
+
 // The disk may be in trouble at the start: it is asked again for a while.
 std::unique_ptr<kestrelline::control_plane::Store> OpenStore(const std::string& directory) {
   constexpr int kTries = 60;
@@ -97,7 +115,8 @@
 }
 
 // A machine without a disk can't be a member: it sends callers on.
-int RunGateway(const Settings& settings) {
+int RunGateway(const Configured& configured) {
+  const Settings& settings = configured.settings;
   boost::asio::io_context io(1);
   boost::asio::signal_set ends(io, SIGTERM, SIGINT);
   kestrelline::control_plane::ControlGateway gateway(io, settings);
@@ -106,13 +125,16 @@
     return kFailure;
   }
   ends.async_wait([&](const boost::system::error_code&, int) { gateway.Leave([&io] { io.stop(); }); });
+  auto watcher = WatcherFor(io, configured, gateway);
+  watcher.Start();
   spdlog::info("started role=gateway zone={}", settings.zone);
   io.run();
   return 0;
 }
 
-int RunCore(const Settings& settings) {
-  if (settings.data_dir.empty()) return RunGateway(settings);
+int RunCore(const Configured& configured) {
+  const Settings& settings = configured.settings;
+  if (settings.data_dir.empty()) return RunGateway(configured);
   spdlog::info("starting role=core zone={}", settings.zone);
   auto store = OpenStore(settings.data_dir);
   if (!store) return kFailure;
@@ -127,12 +149,15 @@
   const auto leave = [&] { node.Leave([&io] { io.stop(); }); };
   ends.async_wait([&](const boost::system::error_code&, int) { leave(); });
   node.OnLeaveRequested(leave);
+  auto watcher = WatcherFor(io, configured, node);
+  watcher.Start();
   spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
   io.run();
   return 0;
 }
 
-int RunEdge(const Settings& settings) {
+int RunEdge(const Configured& configured) {
+  const Settings& settings = configured.settings;
   boost::asio::io_context io(1);
   boost::asio::signal_set ends(io, SIGTERM, SIGINT);  // before the first connection can come
   kestrelline::data_plane::EdgeNode node(io, settings, std::random_device{}());
@@ -141,6 +166,8 @@
     return kFailure;
   }
   ends.async_wait([&](const boost::system::error_code&, int) { node.Drain([&io] { io.stop(); }); });
+  auto watcher = WatcherFor(io, configured, node);
+  watcher.Start();
   spdlog::info("started role=edge zone={}", settings.zone);
   io.run();
   return 0;
@@ -175,14 +202,15 @@
     return 0;
   }
   SetUpLog(result.settings->node_name);
-  return arguments.command == "core" ? RunCore(*result.settings) : RunEdge(*result.settings);
+  const Configured configured{arguments.file, result.text, *result.settings};
+  return arguments.command == "core" ? RunCore(configured) : RunEdge(configured);
 }
 
 }  // namespace
 
 int main(int argument_count, char** argument_values) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // the settings that may change are those of later starts
+  std::signal(SIGHUP, SIG_IGN);  // until SettingsWatcher takes it
   try {
     const Arguments arguments = Parse(argument_count, argument_values);
     if (arguments.help) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -203,12 +203,12 @@
 }
 
 SettingsResult ParseSettings(const std::string& text, const std::string& name) {
-  const auto failure = [&name](std::uint32_t line, const std::string& what) {
-    return SettingsResult{std::nullopt, name + ":" + std::to_string(line) + ": " + what};
+  const auto failure = [&](std::uint32_t line, const std::string& what) {
+    return SettingsResult{std::nullopt, name + ":" + std::to_string(line) + ": " + what, text};
   };
   try {
     const toml::table root = toml::parse(text);
-    return {Read(Table(root)), ""};
+    return {Read(Table(root)), "", text};
   } catch (const toml::parse_error& error) {
     return failure(error.source().begin.line, std::string(error.description()));
   } catch (const Invalid& invalid) {
@@ -218,7 +218,7 @@
 
 SettingsResult ReadSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  if (!file) return {std::nullopt, path + ":0: cannot be read"};
+  if (!file) return {std::nullopt, path + ":0: cannot be read", ""};
   const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
   return ParseSettings(text, path);
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -94,6 +94,7 @@
 struct SettingsResult {
   std::optional<Settings> settings;
   std::string error;
+  std::string text;  // as it was read
 };
 
 SettingsResult ReadSettings(const std::string& path);
--- a/tests/control_plane/member_directory_test.cpp
+++ b/tests/control_plane/member_directory_test.cpp
@@ -23,6 +23,18 @@
   EXPECT_EQ(asked, (std::set<std::string>{"m1", "m2", "s1", "s2"}));
 }
 
+// All members that are known may have been replaced (review/5).
+TEST(MemberDirectory, NewSeedsAreAskedNext) {
+  MemberDirectory directory({"s1"});
+  directory.Update(milliseconds(0), {{"m1", "m2"}, "m2"});
+  directory.SetSeeds({"s2", "s3"});
+  EXPECT_EQ(directory.NextNode(), "s2");
+  EXPECT_EQ(directory.NextNode(), "s3");
+  EXPECT_EQ(directory.NextNode(), "m1");
+  EXPECT_EQ(directory.size(), 4u);
+  EXPECT_EQ(directory.seeds(), (std::vector<std::string>{"s2", "s3"}));
+}
+
 TEST(MemberDirectory, ALeaderExpires) {
   MemberDirectory directory({"s1"});
   EXPECT_FALSE(directory.Leader(milliseconds(0)));
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -11,10 +11,12 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +24,7 @@
 #include <vector>
 
 #include "fleet_soak/process.h"
+#include "fleet_soak/relay.h"
 #include "fleet_standin/backend.h"
 #include "fleet_standin/platform.h"
 #include "support/temporary.h"
@@ -104,7 +107,7 @@
 class Fleet {
  public:
   static constexpr std::uint16_t kControl = 7101, kFront = 7102, kReady = 7103, kPlatform = 7104,
-                                 kInternal = 7110;
+                                 kInternal = 7110, kLink = 7130;
 
   struct Options {
     int cores = 3;
@@ -118,6 +121,8 @@
     bool members_on_edges = false;  // member i runs beside proxy i, at its address
     int gateways = 0;               // control processes without a disk
     int tolerated = 1;
+    // Proxies and gateways reach the members through links that can be cut.
+    bool linked = false;
   };
   static Options Plain(int backends) {
     Options options;
@@ -139,6 +144,7 @@
     for (int i = 0; i < options.plain; ++i) AddBackend("app", "a" + std::to_string(i), false, false);
     platform_ = std::make_unique<fleet_standin::Platform>(io_, [this] { return List(); });
     platform_->Listen({Ip(200), kPlatform});
+    if (options.linked) AddLinks();
     thread_ = std::thread([this] { io_.run(); });
     for (int i = 0; i < options.cores; ++i) StartCore(i, true);
     for (int i = 0; i < options.gateways; ++i) StartGateway(i);
@@ -180,6 +186,25 @@
     gateways_[i] = std::make_unique<Process>(
         "core", WriteSettings("gateway" + std::to_string(i), GatewayIp(i), false, true, ""), folder_ / "log");
   }
+  // Replaces the seeds of settings that are written from now on.
+  void SetSeeds(std::vector<std::string> ips) { seeds_ = std::move(ips); }
+  // Writes the settings of a running process anew.
+  void RewriteEdge(int i) const { WriteSettings("edge" + std::to_string(i), EdgeIp(i), false, false, ""); }
+  void RewriteGateway(int i) const {
+    WriteSettings("gateway" + std::to_string(i), GatewayIp(i), false, true, "");
+  }
+  void RewriteCore(int i) const {
+    WriteSettings("core" + std::to_string(i), CoreIp(i), false, true, folder_ / ("data" + std::to_string(i)));
+  }
+  // Cuts all links, or ends the cut.
+  void SetCut(bool cut) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      for (const auto& link : links_) cut ? link->BeginCut() : link->EndCut();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
   Process& gateway(int i) { return *gateways_.at(i); }
   // Processes that start from now on are told of gateways alone.
   void SeedGatewaysAlone() { seed_gateways_alone_ = true; }
@@ -306,6 +331,23 @@
   const fleet_standin::Platform& platform() const { return *platform_; }
 
  private:
+  // Links from kLink to kInternal at each address where a member may run, and to gateways.
+  void AddLinks() {
+    const auto add = [this](const std::string& ip, std::uint16_t from, std::uint16_t to) {
+      links_.push_back(std::make_unique<fleet_soak::Relay>(io_, node::Endpoint{ip, to}));
+      EXPECT_FALSE(links_.back()->Listen({ip, from}));
+    };
+    for (int i = 0; i < 2 * options_.cores; ++i) add(CoreIp(i), kLink, kInternal);
+    for (int i = 0; i < options_.gateways; ++i) add(GatewayIp(i), kInternal, kLink);
+  }
+  std::vector<std::string> Seeds() const {
+    constexpr int kMostSeeds = 3;  // of a settings file
+    if (!seeds_.empty()) return seeds_;
+    const int count = std::min(kMostSeeds, seed_gateways_alone_ ? options_.gateways : options_.cores);
+    std::vector<std::string> seeds;
+    for (int i = 0; i < count; ++i) seeds.push_back(seed_gateways_alone_ ? GatewayIp(i) : CoreIp(i));
+    return seeds;
+  }
   void AddBackend(const std::string& service, const std::string& id, bool prefill, bool decode) {
     fleet_standin::BackendOptions options;
     options.instance.id = id;
@@ -332,18 +374,17 @@
   std::string WriteSettings(const std::string& name, const std::string& ip, bool bootstrap, bool core,
                             const std::string& data, bool counts = true) const {
     std::string seeds;
-    constexpr int kMostSeeds = 3;  // of a settings file
-    const int count = std::min(kMostSeeds, seed_gateways_alone_ ? options_.gateways : options_.cores);
-    for (int i = 0; i < count; ++i) {
-      const std::string seed = seed_gateways_alone_ ? GatewayIp(i) : CoreIp(i);
-      seeds += (i ? "," : "") + ("\"" + seed + ":" + std::to_string(kControl) + "\"");
+    for (const std::string& seed : Seeds()) {
+      seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":" + std::to_string(kControl) + "\"";
     }
+    const bool through_links = options_.linked && data.empty();
+    const int first_port = through_links ? kLink : kInternal;
     const auto listen = [&](const char* key, std::uint16_t port) {
       return std::string(key) + " = \"" + ip + ":" + std::to_string(port) + "\"\n";
     };
     std::string text = "node_name = \"" + name + "\"\nip = \"" + ip +
-                       "\"\nzone = \"a\"\nephemeral_ports = [" + std::to_string(kInternal) + "," +
-                       std::to_string(kInternal + 9) + "]\nseeds = [" + seeds +
+                       "\"\nzone = \"a\"\nephemeral_ports = [" + std::to_string(first_port) + "," +
+                       std::to_string(first_port + 9) + "]\nseeds = [" + seeds +
                        "]\nbootstrap = " + (bootstrap ? "true" : "false") +
                        "\ncounts_for_quorum = " + (core && counts ? "true" : "false") + "\n";
     if (!data.empty()) text += "data_dir = \"" + data + "\"\n";
@@ -370,6 +411,8 @@
   std::map<int, std::unique_ptr<Process>> edges_;
   std::map<int, std::unique_ptr<Process>> gateways_;
   bool seed_gateways_alone_ = false;
+  std::vector<std::string> seeds_;  // empty: the first members, or gateways alone
+  std::vector<std::unique_ptr<fleet_soak::Relay>> links_;
   std::thread thread_;
 };
 
