--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -192,7 +192,17 @@
   replica_.AddKnownNodes(referral.members);
   const auto members = replica_.KnownNodes();
   const bool is_member = std::find(members.begin(), members.end(), from) != members.end();
-  if (replica_.committed() && !is_member && gateways_.size() < kMaxGateways) gateways_.insert(from);
+  if (replica_.committed() && !is_member) NoteGateway(from);
+}
+
+// At the limit the new gateway takes the place of the one that has been silent for the longest time.
+void ControlNode::NoteGateway(const std::string& gateway) {
+  if (!gateways_.contains(gateway) && gateways_.size() >= kMaxGateways) {
+    gateways_.erase(
+        std::min_element(gateways_.begin(), gateways_.end(),
+                         [](const auto& one, const auto& other) { return one.second < other.second; }));
+  }
+  gateways_[gateway] = Now();
 }
 
 // Sends the members to the gateways that announced themselves, and to seeds that are not members, since they
@@ -202,7 +212,7 @@
   next_gateway_update_ = Now() + kGatewayUpdateInterval;
   const std::vector<std::string> members = replica_.KnownNodes();
   std::set<std::string> recipients(seeds_.begin(), seeds_.end());
-  recipients.insert(gateways_.begin(), gateways_.end());
+  for (const auto& [gateway, announced_at] : gateways_) recipients.insert(gateway);
   for (const std::string& member : members) recipients.erase(member);
   recipients.erase(settings_.ip);
   if (recipients.empty()) return;
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -65,6 +65,7 @@
   void ScheduleTick();
   void SendToMembers(const wire::Body& body);
   void OnReferral(const std::string& from, const wire::Referral& referral);
+  void NoteGateway(const std::string& gateway);
   void SendMembersToGateways();
   void SendListToMembers();
   void SendListFrame(const mesh::Frame& frame);
@@ -88,8 +89,8 @@
 
   http::asio::io_context& io_;
   const node::Settings settings_;
-  const std::shared_ptr<mesh::Traffic> traffic_ = std::make_shared<mesh::Traffic>();
   std::vector<std::string> seeds_;  // of the newest settings
+  const std::shared_ptr<mesh::Traffic> traffic_ = std::make_shared<mesh::Traffic>();
   mesh::Mesh mesh_;
   Replica replica_;
   distribution::Publisher publisher_;
@@ -119,9 +120,10 @@
   Time last_change_published_at_{0};
   bool change_pending_ = false;  // until kMinChangeInterval after the last published change
   Role logged_role_ = Role::kLearner;
-  // Known gateways (control processes without a disk). They are kept until this process exits, so that a
-  // gateway that restarts without knowing any member is still sent the members.
-  std::set<std::string> gateways_;
+  // Known gateways (control processes without a disk), and when they last announced themselves. They are kept
+  // until newer ones need their place, so that a gateway that restarts without knowing any member is still
+  // sent the members.
+  std::map<std::string, Time> gateways_;
   Time next_gateway_update_{0};
   std::function<void()> on_leave_requested_;
   std::function<void()> on_left_;  // set while this member is leaving
--- a/src/control_plane/replica.cpp
+++ b/src/control_plane/replica.cpp
@@ -56,7 +56,14 @@
 }
 
 void Replica::AddKnownNode(const std::string& node) {
-  if (node == options_.self || known_nodes_.size() >= kMaxKnownNodes) return;
+  if (node == options_.self || known_nodes_.contains(node)) return;
+  if (known_nodes_.size() >= kMaxKnownNodes) {
+    const NodeSet electors = record_ ? Electors(*record_) : NodeSet();
+    const auto replaced = std::find_if(known_nodes_.begin(), known_nodes_.end(),
+                                       [&](const auto& known) { return !electors.contains(known); });
+    if (replaced == known_nodes_.end()) return;
+    known_nodes_.erase(replaced);
+  }
   known_nodes_.insert(node);
 }
 
--- a/src/control_plane/replica.h
+++ b/src/control_plane/replica.h
@@ -175,6 +175,7 @@
   void SendTo(const std::string& to, wire::Body body) { Emit(Send{to, std::move(body)}); }
   // Emits a Persist effect; Persisted runs the completion.
   void Write(PendingWrite write);
+  // At the limit the new node replaces one without a vote.
   void AddKnownNode(const std::string& node);
   wire::Position StoredPosition() const { return record_ ? record_->position : wire::Position{}; }
   bool IsElector() const { return record_ && Electors(*record_).contains(options_.self); }
@@ -220,6 +221,9 @@
   void SendRecord(Time now, const std::string& to, Peer& peer);
   // Sends the newest record unless an earlier one is still in transit.
   void CatchUpPeer(Time now, const std::string& to, Peer& peer, const wire::HeartbeatReply& reply);
+  // The entry of a member. At the limit it takes the place of one without a vote that has been silent for
+  // forget_timeout; null if there is none.
+  Peer* FindOrAddPeer(Time now, const std::string& node);
   // Electors, waiting members and leaving members: all that get records and heartbeats.
   NodeSet ReplicationTargets(Time now) const;
   // Assigns the next position to the record, stores it and sends it out.
--- a/src/control_plane/replica_leader.cpp
+++ b/src/control_plane/replica_leader.cpp
@@ -41,6 +41,23 @@
   }
 }
 
+Replica::Peer* Replica::FindOrAddPeer(Time now, const std::string& node) {
+  auto& peers = leader_state_.peers;
+  if (!peers.contains(node) && peers.size() >= kMaxKnownNodes) {
+    const NodeSet electors = Electors(*leader_state_.proposed);
+    const auto forgotten = std::find_if(peers.begin(), peers.end(), [&](const auto& entry) {
+      const Peer& peer = entry.second;
+      const Time never = leader_state_.leading_since;
+      const Time heard_at = std::max(
+          {peer.last_reply_at.value_or(never), peer.last_hello_at.value_or(never), peer.disk_id_since});
+      return !electors.contains(entry.first) && now - heard_at >= options_.forget_timeout;
+    });
+    if (forgotten == peers.end()) return nullptr;
+    peers.erase(forgotten);
+  }
+  return &peers[node];
+}
+
 NodeSet Replica::ReplicationTargets(Time now) const {
   NodeSet targets = Electors(*leader_state_.proposed);
   for (const auto& [node, peer] : leader_state_.peers) {
@@ -104,8 +121,9 @@
     return StartPreVote(now);
   }
   if (reply.epoch != epoch_) return;
-  if (!leader_state_.peers.contains(from) && leader_state_.peers.size() >= kMaxKnownNodes) return;
-  Peer& peer = leader_state_.peers[from];
+  Peer* const entry = FindOrAddPeer(now, from);
+  if (entry == nullptr) return;
+  Peer& peer = *entry;
   const Time heartbeat_sent(static_cast<std::int64_t>(reply.sent_ms));
   // A reply that was in transit when the member lost its disk reports a copy that no longer exists.
   if (peer.disk_id && heartbeat_sent > peer.disk_id_since) peer.disk_id = reply.disk;
--- a/src/control_plane/replica_learner.cpp
+++ b/src/control_plane/replica_learner.cpp
@@ -55,8 +55,9 @@
     return;
   }
   if (role_ == Role::kLeader) {
-    if (!leader_state_.peers.contains(from) && leader_state_.peers.size() >= kMaxKnownNodes) return;
-    Peer& peer = leader_state_.peers[from];
+    Peer* const entry = FindOrAddPeer(now, from);
+    if (entry == nullptr) return;
+    Peer& peer = *entry;
     if (Enforced(Safeguard::kForgetLostCopies)) peer.stored_position = {};
     peer.append_sent_at.reset();
     peer.disk_id = request.nonce;
--- a/src/control_plane/replica_membership.cpp
+++ b/src/control_plane/replica_membership.cpp
@@ -14,8 +14,9 @@
   AddKnownNode(from);
   if (role_ != Role::kLeader || !hello.counts_for_quorum) return;
   if (Electors(*leader_state_.proposed).contains(from)) return;
-  if (!leader_state_.peers.contains(from) && leader_state_.peers.size() >= kMaxKnownNodes) return;
-  Peer& peer = leader_state_.peers[from];
+  Peer* const entry = FindOrAddPeer(now, from);
+  if (entry == nullptr) return;
+  Peer& peer = *entry;
   peer.last_hello_at = now;
   if (peer.stored_position < leader_state_.proposed->position && !peer.append_sent_at)
     SendRecord(now, from, peer);
--- a/src/control_plane/replica_types.h
+++ b/src/control_plane/replica_types.h
@@ -37,6 +37,7 @@
   Duration founding_wait{1000};    // for the other founders' replies
   Duration hello_interval{300};
   Duration failure_timeout{1500};     // a member silent for this long may be replaced by a waiting one
+  Duration forget_timeout{60000};     // a member without a vote that is silent for this long may be forgotten
   Duration leave_timeout{5000};       // a leaving member waits at most this long for a successor
   Duration min_leave_time{400};       // and at least this long, to hear of a successor that has just started
   Duration leaderless_timeout{2500};  // a leaving member waits this long for a leader to be elected
--- a/src/http/api_server.cpp
+++ b/src/http/api_server.cpp
@@ -93,11 +93,23 @@
       asio::steady_timer pause(io_, kAcceptPause);  // probably out of file descriptors
       co_await pause.async_wait(kTuple);
     }
-    if (error || connections_.size() >= kMaxConnections) continue;
+    if (error || (connections_.size() >= kMaxConnections && !CloseLongestIdle())) continue;
     asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
   }
 }
 
+bool ApiServer::CloseLongestIdle() {
+  std::shared_ptr<Connection> longest_idle;
+  for (const auto& connection : connections_) {
+    if (connection->state != Connection::State::kIdle || connection->HasBytes()) continue;
+    if (!longest_idle || connection->idle_since < longest_idle->idle_since) longest_idle = connection;
+  }
+  if (!longest_idle) return false;
+  longest_idle->state = Connection::State::kEnding;
+  longest_idle->stream.cancel();
+  return true;
+}
+
 Awaitable<void> ApiServer::Serve(Tcp::socket socket) {
   error_code ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
@@ -135,6 +147,7 @@
 
 Awaitable<bool> ApiServer::AwaitFirstBytes(Connection& connection) {
   connection.state = Connection::State::kIdle;
+  connection.idle_since = steady_clock::now();
   if (draining_ && !connection.HasBytes()) co_return false;
   const bool has_bytes = connection.buffer.size() > 0;
   connection.stream.expires_after(has_bytes ? kReadTimeout : kIdleTimeout);
--- a/src/http/api_server.h
+++ b/src/http/api_server.h
@@ -30,7 +30,9 @@
 // One listening socket and its connections, on the thread of the io_context.
 class ApiServer {
  public:
-  static constexpr int kMaxConnections = 256;  // connections beyond it are closed at once
+  // At the limit a new connection replaces the one that has been idle for the longest time; it is closed at
+  // once if none is idle.
+  static constexpr std::size_t kMaxConnections = 256;
   static constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
   static constexpr std::size_t kMaxBodyBytes = 6 * 1024 * 1024;
 
@@ -55,9 +57,12 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer{kMaxParserBufferBytes};
     State state = State::kIdle;
+    steady_clock::time_point idle_since = steady_clock::now();
   };
 
   Awaitable<void> Accept();
+  // Makes room for a new connection; false if no connection is idle.
+  bool CloseLongestIdle();
   Awaitable<void> Serve(Tcp::socket socket);
   // Handles one request; false if the connection is to end.
   Awaitable<bool> ServeRequest(Connection& connection);
--- a/src/mesh/connection.cpp
+++ b/src/mesh/connection.cpp
@@ -42,6 +42,7 @@
       [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
         if (!self->open_) return;
         if (error) return self->Fail();
+        self->last_received_at_ = std::chrono::steady_clock::now();
         self->input_used_ += count;
         if (!self->TakeFrames()) return self->Fail();
         if (self->open_) self->Read();
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -6,6 +6,7 @@
 #define KESTRELLINE_MESH_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -40,6 +41,8 @@
   // Closes without calling OnClosed.
   void Close();
   bool open() const { return open_; }
+  // When bytes last arrived; at first, when the connection was made.
+  std::chrono::steady_clock::time_point last_received_at() const { return last_received_at_; }
   // The newest echo received: messages after it were composed after the peer had received that probe. 0:
   // none.
   std::uint64_t echo() const { return echo_; }
@@ -59,6 +62,7 @@
   std::deque<Frame> output_;
   std::size_t output_bytes_ = 0;
   std::uint64_t echo_ = 0;
+  std::chrono::steady_clock::time_point last_received_at_ = std::chrono::steady_clock::now();
   bool writing_ = false;
   bool open_ = true;
 };
--- a/tests/control_plane/replica_test.cpp
+++ b/tests/control_plane/replica_test.cpp
@@ -5,6 +5,7 @@
 // many seeds run.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "control_sim/decide.h"
@@ -233,6 +234,63 @@
   for (const Effect& effect : receiver.TakeEffects()) EXPECT_FALSE(std::holds_alternative<Persist>(effect));
 }
 
+// Runs a replica whose disk completes each write at once, and returns what it sends.
+std::vector<Send> RunAlone(Replica& replica, Time from, Time until) {
+  std::vector<Send> sent;
+  for (Time now = from; now <= until; now += Duration(50)) {
+    replica.Tick(now);
+    for (Effect& effect : replica.TakeEffects()) {
+      if (const auto* persist = std::get_if<Persist>(&effect)) replica.Persisted(now, persist->ticket, true);
+      if (auto* send = std::get_if<Send>(&effect)) sent.push_back(std::move(*send));
+    }
+  }
+  return sent;
+}
+
+bool SendsTo(const std::vector<Send>& sent, const std::string& node) {
+  return std::any_of(sent.begin(), sent.end(), [&](const Send& send) { return send.to == node; });
+}
+
+std::vector<std::string> DepartedNodes(std::size_t count) {
+  std::vector<std::string> nodes;
+  for (std::size_t i = 0; i < count; ++i) nodes.push_back("departed" + std::to_string(i));
+  return nodes;
+}
+
+// Guards against a full table of machines that are gone, after which a new machine is never asked.
+TEST(Replica, AtTheLimitOfKnownNodesANewOneReplacesOneWithoutAVote) {
+  ReplicaOptions options;
+  options.self = "self";
+  Replica learner(options, {}, Time(0));
+  learner.AddKnownNodes(DepartedNodes(Replica::kMaxKnownNodes));
+  learner.AddKnownNodes({"new"});
+  const std::vector<Send> sent = RunAlone(learner, Time(0), Time(1000));
+  EXPECT_TRUE(SendsTo(sent, "new"));
+  EXPECT_EQ(learner.KnownNodes().size(), Replica::kMaxKnownNodes + 1);  // and itself
+}
+
+// The same for a leader, which would never give a seat to a new machine.
+TEST(Replica, AtTheLimitOfPeersANewOneReplacesADepartedOne) {
+  ReplicaOptions options;
+  options.self = "self";
+  options.max_lost_members = 0;
+  wire::Record stored;
+  stored.position = {4, 1};
+  stored.members = {options.self};
+  Replica leader(options, {4, 0, true, std::make_shared<const wire::Record>(stored)}, Time(0));
+  RunAlone(leader, Time(0), Time(5000));
+  ASSERT_TRUE(leader.Leads(Time(5000)));
+  for (const std::string& node : DepartedNodes(Replica::kMaxKnownNodes)) {
+    leader.Receive(Time(5000), node, wire::Hello{true, 1});
+  }
+  leader.Receive(Time(5000), "early", wire::Hello{true, 1});
+  EXPECT_FALSE(SendsTo(RunAlone(leader, Time(5000), Time(5100)), "early"));
+  const Time later = Time(5100) + options.forget_timeout;
+  RunAlone(leader, Time(5100), later);
+  leader.Receive(later, "new", wire::Hello{true, 1});
+  EXPECT_TRUE(SendsTo(RunAlone(leader, later, later + Duration(100)), "new"));
+}
+
 TEST(Replica, AMembershipChangeNeedsAQuorumOfTheOldMembersToo) {
   // The leader and a new member are cut off from the other two, at each step of the membership change.
   for (int moment = 0; moment < 60; ++moment) {
