--- a/src/data_plane/client_connection.cpp
+++ b/src/data_plane/client_connection.cpp
@@ -36,19 +36,10 @@
   stream_.socket().set_option(Tcp::no_delay(true), ignored);
 }
 
-Awaitable<ClientConnection::ReadResult> ClientConnection::ReadRequest(const configuration::Limits& limits) {
+Awaitable<ClientConnection::ReadResult> ClientConnection::ReadRequest(const CurrentLimits& current_limits) {
   watch_.reset();
-  DropEmptyLines();
-  serving_ = buffer_.size() > 0;
-  while (buffer_.size() == 0) {
-    idle_since_ = steady_clock::now();
-    stream_.expires_after(limits.idle_timeout);
-    const auto [error, count] = co_await stream_.async_read_some(buffer_.prepare(kInitialReadBytes), kTuple);
-    if (error) co_return ReadResult{ReadOutcome::kClosed, {}};
-    buffer_.commit(count);
-    DropEmptyLines();
-    serving_ = buffer_.size() > 0;
-  }
+  if (!co_await AwaitFirstBytes(current_limits)) co_return ReadResult{ReadOutcome::kClosed, {}};
+  const configuration::Limits limits = current_limits();
   bhttp::request_parser<bhttp::string_body> parser;
   const error_code error = co_await ReadFullRequest(parser, limits);
   read_timer_.cancel();
@@ -67,6 +58,29 @@
   co_return ReadResult{ReadOutcome::kRequest, {}};
 }
 
+Awaitable<bool> ClientConnection::AwaitFirstBytes(const CurrentLimits& current_limits) {
+  DropEmptyLines();
+  serving_ = buffer_.size() > 0;
+  idle_since_ = steady_clock::now();
+  stream_.expires_never();
+  while (buffer_.size() == 0) {
+    const auto remaining = idle_since_ + current_limits().idle_timeout - steady_clock::now();
+    if (remaining <= steady_clock::duration::zero()) co_return false;
+    StartReadTimeout(std::chrono::ceil<milliseconds>(remaining));
+    const auto [error, count] = co_await stream_.async_read_some(buffer_.prepare(kInitialReadBytes), kTuple);
+    const bool timed_out = *read_timed_out_;
+    read_timer_.cancel();
+    read_timed_out_.reset();
+    if (error && timed_out) continue;  // the timeout may have been raised meanwhile
+    if (error) co_return false;
+    buffer_.commit(count);
+    DropEmptyLines();
+    serving_ = buffer_.size() > 0;
+    if (buffer_.size() == 0) idle_since_ = steady_clock::now();
+  }
+  co_return true;
+}
+
 Awaitable<error_code> ClientConnection::ReadFullRequest(bhttp::request_parser<bhttp::string_body>& parser,
                                                         const configuration::Limits& limits) {
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
--- a/src/data_plane/client_connection.h
+++ b/src/data_plane/client_connection.h
@@ -33,7 +33,11 @@
     // The status to answer a malformed request with.
     http::bhttp::status status = http::bhttp::status::bad_request;
   };
-  Awaitable<ReadResult> ReadRequest(const configuration::Limits& limits);
+  using CurrentLimits = std::function<configuration::Limits()>;
+  // Waits for the next request and reads it. `current_limits` is asked whenever limits are applied, since
+  // they may change while the connection is idle; a request is read under those in force when its first bytes
+  // are here.
+  Awaitable<ReadResult> ReadRequest(const CurrentLimits& current_limits);
   ClientRequest& request() { return request_; }
 
   // Writes a complete response. `head` ends without its blank line; Content-Length and Connection are added
@@ -84,6 +88,8 @@
   // can still be sent to the client.
   Awaitable<error_code> ReadFullRequest(http::bhttp::request_parser<http::bhttp::string_body>& parser,
                                         const configuration::Limits& limits);
+  // Waits until bytes of a request are buffered; false if the connection ends, or was idle for too long.
+  Awaitable<bool> AwaitFirstBytes(const CurrentLimits& current_limits);
   void DropEmptyLines();
   void StartReadTimeout(milliseconds timeout);
   Awaitable<error_code> SendContinue(const http::bhttp::request_parser<http::bhttp::string_body>& parser);
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -138,10 +138,11 @@
 Awaitable<void> EdgeNode::Serve(Tcp::socket socket) {
   ClientConnection client(std::move(socket));
   const RegisteredClient registration(clients_, client);
+  const ClientConnection::CurrentLimits current_limits = [this] {
+    return state_.routes ? state_.routes->configuration().limits : configuration::Limits{};
+  };
   while (true) {
-    const configuration::Limits limits =
-        state_.routes ? state_.routes->configuration().limits : configuration::Limits{};
-    const auto result = co_await client.ReadRequest(limits);
+    const auto result = co_await client.ReadRequest(current_limits);
     if (result.outcome == ClientConnection::ReadOutcome::kClosed) break;
     if (result.outcome == ClientConnection::ReadOutcome::kMalformed) {
       client.set_close_after_response(true);
