The slow reader's test gets its long answer in 1,800 events, not 180,000

Trace: for those 20 s test program and proxy each used 62 % of a core while the proxy's memory grew, so the stand-in was still writing 180,000 events one by one under the sanitizers; the proxy buffers such an answer whole before it writes. How long that takes is not what the test is about.

The stand-in pads its events, so that the answer of over 5 MB consists of fewer. The answer's size, the reader's pace, the checks and the wait for the first byte are as before.

--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -308,6 +308,7 @@
   head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   if (!co_await Write(stream, std::move(head))) co_return false;
   const int breaks_at = event + kBreaksAfter;
+  const std::string padding(options_.padding_bytes, 'x');
   asio::steady_timer timer(io_);
   const int events = NumberOf(request, "Stream-Events", options_.events);
   const milliseconds between(
@@ -315,7 +316,7 @@
   while (event < events) {
     ++event;
     const std::string text =
-        "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+        "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + padding + "\n\n";
     if (fault == Fault::kBreakStream && event > breaks_at) {
       co_await Write(stream, Chunk(text.substr(0, text.size() / 2)));
       co_return false;
--- a/src/fleet_standin/backend.h
+++ b/src/fleet_standin/backend.h
@@ -57,6 +57,7 @@
   wire::Instance instance;  // its address is where it listens
   int events = 5;           // of a stream
   http::milliseconds between{2};
+  std::size_t padding_bytes = 0;  // added to the data of each event
 };
 
 class Backend {
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -117,6 +117,7 @@
     int plain = 1;  // of the service "app"
     int events = 5;
     milliseconds between{2};
+    std::size_t padding_bytes = 0;  // of each event
     int max_subscribers = 24;
     bool members_on_edges = false;  // member i runs beside proxy i, at its address
     int gateways = 0;               // control processes without a disk
@@ -359,6 +360,7 @@
     options.instance.decode = decode;
     options.events = options_.events;
     options.between = options_.between;
+    options.padding_bytes = options_.padding_bytes;
     backends_[id] = std::make_unique<Backend>(io_, options);
     backends_[id]->Listen();
   }
--- a/tests/router_fleet/unanswered_test.cpp
+++ b/tests/router_fleet/unanswered_test.cpp
@@ -44,9 +44,10 @@
 }
 
 // A plain request whose response is a stream of many events, which the proxy buffers completely.
-Fleet::Options LongAnswers(int events) {
+Fleet::Options LongAnswers(int events, std::size_t padding_bytes = 0) {
   Fleet::Options options;
   options.events = events;
+  options.padding_bytes = padding_bytes;
   options.between = milliseconds(0);
   return options;
 }
@@ -110,7 +111,7 @@
 TEST(FleetUnanswered, ASlowButSteadyReaderGetsItsWholeResponse) {
   // The response is larger than the kernel buffers of a connection, and reading it takes longer than the
   // timeout of one write.
-  Fleet fleet(LongAnswers(180 * 1000));
+  Fleet fleet(LongAnswers(1800, 3000));
   ASSERT_TRUE(StartWith(fleet, fleet.Configuration(1, 60000)));
   ClientSocket client(fleet.EdgeIp(0), Fleet::kFront, kSmallReceiveBuffer);
   ASSERT_TRUE(client.Send(Post("/app/x", "r1", "Model-Name: m\r\nConnection: close\r\n")));
