--- a/tests/mesh/mesh_test.cpp
+++ b/tests/mesh/mesh_test.cpp
@@ -5,9 +5,12 @@
 #include "mesh/mesh.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <array>
 #include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -74,6 +77,24 @@
   std::map<int, int> closed_;
 };
 
+// As long as it lives, this process cannot open any file descriptor.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest_free = dup(STDERR_FILENO);
+    close(lowest_free);
+    const rlimit exhausted{static_cast<rlim_t>(lowest_free), before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &exhausted);
+  }
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
 Mesh::Limits SmallLimits() {
   Mesh::Limits limits;
   limits.incoming = 4;
@@ -139,5 +160,25 @@
   EXPECT_TRUE(Delivers(*sender, 1, 3));
 }
 
+// Guards against a process out of file descriptors that accepts again without a pause, with all of its
+// processor time.
+TEST_F(MeshTest, WithoutDescriptorsItPausesBeforeItAcceptsAgain) {
+  constexpr milliseconds kTime{400};
+  constexpr milliseconds kPause{20};
+  constexpr std::size_t kMaxHandlers = 3 * (kTime / kPause);  // an accept and a timer for each pause
+  const auto member = NewMesh(1, Mesh::Limits());
+  const auto encoder = NewMesh(2, Mesh::Limits());
+  Tcp::socket waiting(io_);
+  waiting.open(Tcp::v4());
+  {
+    const NoFreeDescriptors exhausted;
+    waiting.connect({boost::asio::ip::make_address(Ip(1)), kPort});
+    io_.restart();
+    EXPECT_LE(io_.run_for(kTime), kMaxHandlers);
+  }
+  boost::asio::write(waiting, boost::asio::buffer(*encoder->Encode(wire::Probe{1})));
+  EXPECT_TRUE(RunUntil([&] { return heard_[1].contains(Ip(2)); }));
+}
+
 }  // namespace
 }  // namespace kestrelline::mesh
--- a/tests/router_fleet/held_connections_test.cpp
+++ b/tests/router_fleet/held_connections_test.cpp
@@ -3,12 +3,17 @@
 // Connections that machines without power leave behind: nothing is ever sent on them, and nobody closes them.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "mesh/mesh.h"
 #include "router_fleet/client_socket.h"
 #include "router_fleet/fleet_fixture.h"
+#include "wire/codec.h"
 
 namespace kestrelline::router_fleet {
 namespace {
@@ -50,5 +55,39 @@
   EXPECT_TRUE(fleet.Ready(0));
 }
 
+// Guards against a member that knows so many gateways that are gone (its limit is 64) that it never tells a
+// new one which members there are.
+TEST(HeldConnections, ANewGatewayIsToldTheMembersAlthoughManyThatAreGoneAnnouncedThemselves) {
+  constexpr int kGone = 70;
+  Fleet::Options options;
+  options.cores = 1;
+  options.edges = 1;
+  options.tolerated = 0;
+  Fleet fleet(options);
+  ASSERT_TRUE(fleet.Begin());
+  const ClientSocket gateways(fleet.CoreIp(0), Fleet::kInternal);
+  const auto announce = [&](const std::string& gateway) {
+    return gateways.Send(wire::EncodeFrame({gateway, wire::Referral{}}));
+  };
+  for (int i = 0; i < kGone; ++i) ASSERT_TRUE(announce("127.250.250." + std::to_string(1 + i)));
+
+  boost::asio::io_context io;
+  bool told = false;
+  mesh::Mesh gateway(io, fleet.GatewayIp(0), {fleet.GatewayIp(0), Fleet::kInternal}, nullptr);
+  const auto on_message = [&](mesh::Connection&, const wire::Message& message) {
+    const auto* referral = std::get_if<wire::Referral>(&message.body);
+    if (referral == nullptr) return;
+    told = std::find(referral->members.begin(), referral->members.end(), fleet.CoreIp(0)) !=
+           referral->members.end();
+  };
+  ASSERT_FALSE(gateway.Listen(on_message, nullptr));
+  ASSERT_TRUE(announce(fleet.GatewayIp(0)));
+  EXPECT_TRUE(Eventually([&] {
+    io.restart();
+    io.run_for(milliseconds(50));
+    return told;
+  }));
+}
+
 }  // namespace
 }  // namespace kestrelline::router_fleet
