--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -217,10 +217,15 @@
 }
 
 SettingsResult ReadSettings(const std::string& path) {
+  const std::optional<std::string> text = ReadSettingsText(path);
+  if (!text) return {std::nullopt, path + ":0: cannot be read", ""};
+  return ParseSettings(*text, path);
+}
+
+std::optional<std::string> ReadSettingsText(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  if (!file) return {std::nullopt, path + ":0: cannot be read", ""};
-  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-  return ParseSettings(text, path);
+  if (!file) return std::nullopt;
+  return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
 }
 
 }  // namespace kestrelline::node
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -98,6 +98,8 @@
 };
 
 SettingsResult ReadSettings(const std::string& path);
+// The text of the file at `path`; nothing if it cannot be read.
+std::optional<std::string> ReadSettingsText(const std::string& path);
 // `name` is the file name in error messages.
 SettingsResult ParseSettings(const std::string& text, const std::string& name);
 
--- a/src/node/settings_watcher.cpp
+++ b/src/node/settings_watcher.cpp
@@ -4,20 +4,9 @@
 #include <spdlog/spdlog.h>
 
 #include <csignal>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 namespace kestrelline::node {
-namespace {
-
-// The text of the file; empty if it cannot be read.
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-}
-
-}  // namespace
 
 SettingsWatcher::SettingsWatcher(boost::asio::io_context& io, std::string path, std::string text,
                                  OnChange on_change)
@@ -50,12 +39,14 @@
 }
 
 void SettingsWatcher::Check() {
-  const std::string text = ReadFile(path_);
+  std::optional<std::string> text = ReadSettingsText(path_);
   if (text == text_) return;
-  text_ = text;
-  const SettingsResult result = ParseSettings(text, path_);
+  text_ = std::move(text);
+  if (!text_) return spdlog::warn("settings not taken over: {} cannot be read", path_);
+  const SettingsResult result = ParseSettings(*text_, path_);
   if (!result.settings) return spdlog::warn("settings not taken over: {}", result.error);
-  if (result.settings->seeds.empty()) return;  // a file that is still being written, or a site without seeds
+  // The file may still be being written, or the site may have no seeds.
+  if (result.settings->seeds.empty()) return spdlog::warn("settings not taken over: {} has no seeds", path_);
   on_change_(*result.settings);
 }
 
--- a/src/node/settings_watcher.h
+++ b/src/node/settings_watcher.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "node/settings.h"
@@ -23,7 +24,8 @@
   using OnChange = std::function<void(const Settings&)>;
 
   // Calls `on_change` with the settings of the file at `path` whenever its text differs from the last one,
-  // which is `text` at first. A file that cannot be read, or is invalid, is logged and otherwise ignored.
+  // which is `text` at first. A file that cannot be read, is invalid or names no seeds is logged and otherwise
+  // ignored.
   SettingsWatcher(boost::asio::io_context& io, std::string path, std::string text, OnChange on_change);
 
   void Start();
@@ -37,7 +39,7 @@
   const OnChange on_change_;
   boost::asio::signal_set reload_;
   boost::asio::steady_timer timer_;
-  std::string text_;  // as last read
+  std::optional<std::string> text_;  // as last read; nothing if that failed
 };
 
 }  // namespace kestrelline::node
