--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -39,23 +39,25 @@
   bool help = false;
 };
 
-options::options_description Described() {
-  options::options_description described("Options");
-  described.add_options()("help,h", "this text")("command", options::value<std::string>(), "what to do")(
-      "json", "JSON as it came, for tools")("file", options::value<std::string>(), "the settings file");
-  return described;
+options::options_description DescribeOptions() {
+  options::options_description description("Options");
+  description.add_options()("help,h", "print this help")(
+      "command", options::value<std::string>(), "the command")("json", "print the JSON of the response")(
+      "file", options::value<std::string>(), "the settings file");
+  return description;
 }
 
 void PrintUsage(std::ostream& out) {
   out << "kestrelline-fleet COMMAND [FILE]\n"
-         "  edge           takes clients' requests and passes them on (data plane)\n"
-         "  core           keeps the configuration, reads the platform's list (control plane)\n"
+         "  edge           runs a proxy for client requests (data plane)\n"
+         "  core           runs a member that keeps the configuration and the list of backends (control "
+         "plane)\n"
          "  check [FILE]   checks a settings file\n"
          "  version        prints the version\n"
-         "  members, leader, history ADDRESS   asks a member of the control plane (IP:PORT)\n"
-         "  config-show ADDRESS                the configuration in force\n"
-         "  leave ADDRESS                      that member stops, a waiting one takes its seat first\n"
-         "FILE: the settings file; else the path in "
+         "  members, leader, history ADDRESS   queries a member of the control plane (IP:PORT)\n"
+         "  config-show ADDRESS                prints the configuration in force\n"
+         "  leave ADDRESS                      stops that member after a waiting one has replaced it\n"
+         "FILE: the settings file; by default the path in "
       << kSettingsVariable << "\n";
 }
 
@@ -63,8 +65,9 @@
   options::positional_options_description positions;
   positions.add("command", 1).add("file", 1);
   options::variables_map found;
-  options::store(options::command_line_parser(count, values).options(Described()).positional(positions).run(),
-                 found);
+  options::store(
+      options::command_line_parser(count, values).options(DescribeOptions()).positional(positions).run(),
+      found);
   Arguments arguments;
   arguments.help = found.count("help") > 0;
   arguments.json = found.count("json") > 0;
@@ -84,7 +87,7 @@
 }
 
 // The settings of this process, and the file that they were read from.
-struct Configured {
+struct LoadedSettings {
   std::string path;
   std::string text;
   Settings settings;
@@ -92,20 +95,20 @@
 
 // Gives the seeds of changed settings to `node`.
 template <typename Node>
-kestrelline::node::SettingsWatcher WatcherFor(boost::asio::io_context& io, const Configured& configured,
+kestrelline::node::SettingsWatcher WatcherFor(boost::asio::io_context& io, const LoadedSettings& loaded,
                                               Node& node) {
-  return {io, configured.path, configured.text, [&node](const Settings& changed) {
+  return {io, loaded.path, loaded.text, [&node](const Settings& changed) {
             spdlog::info("settings changed seeds={}", changed.seeds.size());
             node.UpdateSeeds(changed);
           }};
 }
 
-// The disk may be in trouble at the start: it is asked again for a while.
+// Retries for a while, since the disk may fail at the start.
 std::unique_ptr<kestrelline::control_plane::Store> OpenStore(const std::string& directory) {
-  constexpr int kTries = 60;
+  constexpr int kMaxAttempts = 60;
   constexpr milliseconds kPause{500};
   std::error_code error;
-  for (int i = 0; i < kTries; ++i) {
+  for (int i = 0; i < kMaxAttempts; ++i) {
     auto store = kestrelline::control_plane::Store::Open(directory, error);
     if (store) return store;
     spdlog::warn("store directory={} error={}", directory, error.message());
@@ -114,27 +117,28 @@
   return nullptr;
 }
 
-// A machine without a disk can't be a member: it sends callers on.
-int RunGateway(const Configured& configured) {
-  const Settings& settings = configured.settings;
+// A machine without a disk can't be a member: it redirects callers to the members.
+int RunGateway(const LoadedSettings& loaded) {
+  const Settings& settings = loaded.settings;
   boost::asio::io_context io(1);
-  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  boost::asio::signal_set termination_signals(io, SIGTERM, SIGINT);
   kestrelline::control_plane::ControlGateway gateway(io, settings);
   if (const std::error_code error = gateway.Start()) {
     spdlog::critical("cannot start: {}", error.message());
     return kFailure;
   }
-  ends.async_wait([&](const boost::system::error_code&, int) { gateway.Leave([&io] { io.stop(); }); });
-  auto watcher = WatcherFor(io, configured, gateway);
+  termination_signals.async_wait(
+      [&](const boost::system::error_code&, int) { gateway.Leave([&io] { io.stop(); }); });
+  auto watcher = WatcherFor(io, loaded, gateway);
   watcher.Start();
   spdlog::info("started role=gateway zone={}", settings.zone);
   io.run();
   return 0;
 }
 
-int RunCore(const Configured& configured) {
-  const Settings& settings = configured.settings;
-  if (settings.data_dir.empty()) return RunGateway(configured);
+int RunCore(const LoadedSettings& loaded) {
+  const Settings& settings = loaded.settings;
+  if (settings.data_dir.empty()) return RunGateway(loaded);
   spdlog::info("starting role=core zone={}", settings.zone);
   auto store = OpenStore(settings.data_dir);
   if (!store) return kFailure;
@@ -145,28 +149,29 @@
     spdlog::critical("cannot start: {}", error.message());
     return kFailure;
   }
-  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  boost::asio::signal_set termination_signals(io, SIGTERM, SIGINT);
   const auto leave = [&] { node.Leave([&io] { io.stop(); }); };
-  ends.async_wait([&](const boost::system::error_code&, int) { leave(); });
+  termination_signals.async_wait([&](const boost::system::error_code&, int) { leave(); });
   node.OnLeaveRequested(leave);
-  auto watcher = WatcherFor(io, configured, node);
+  auto watcher = WatcherFor(io, loaded, node);
   watcher.Start();
   spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
   io.run();
   return 0;
 }
 
-int RunEdge(const Configured& configured) {
-  const Settings& settings = configured.settings;
+int RunEdge(const LoadedSettings& loaded) {
+  const Settings& settings = loaded.settings;
   boost::asio::io_context io(1);
-  boost::asio::signal_set ends(io, SIGTERM, SIGINT);  // before the first connection can come
+  boost::asio::signal_set termination_signals(io, SIGTERM, SIGINT);  // before the first connection can come
   kestrelline::data_plane::EdgeNode node(io, settings, std::random_device{}());
   if (const std::error_code error = node.Start()) {
     spdlog::critical("cannot start: {}", error.message());
     return kFailure;
   }
-  ends.async_wait([&](const boost::system::error_code&, int) { node.Drain([&io] { io.stop(); }); });
-  auto watcher = WatcherFor(io, configured, node);
+  termination_signals.async_wait(
+      [&](const boost::system::error_code&, int) { node.Drain([&io] { io.stop(); }); });
+  auto watcher = WatcherFor(io, loaded, node);
   watcher.Start();
   spdlog::info("started role=edge zone={}", settings.zone);
   io.run();
@@ -178,13 +183,13 @@
     std::cout << "kestrelline-fleet " << KESTRELLINE_VERSION << '\n';
     return 0;
   }
-  if (const auto question = kestrelline::fleet_main::QuestionOf(arguments.command)) {
-    return kestrelline::fleet_main::AskMember(*question, arguments.file, arguments.json, std::cout,
-                                              std::cerr);
+  if (const auto command = kestrelline::fleet_main::ParseMemberCommand(arguments.command)) {
+    return kestrelline::fleet_main::RunMemberCommand(*command, arguments.file, arguments.json, std::cout,
+                                                     std::cerr);
   }
-  const bool known =
+  const bool is_known =
       arguments.command == "edge" || arguments.command == "core" || arguments.command == "check";
-  if (!known) {
+  if (!is_known) {
     PrintUsage(std::cerr);
     return kUsage;
   }
@@ -202,15 +207,15 @@
     return 0;
   }
   SetUpLog(result.settings->node_name);
-  const Configured configured{arguments.file, result.text, *result.settings};
-  return arguments.command == "core" ? RunCore(configured) : RunEdge(configured);
+  const LoadedSettings loaded{arguments.file, result.text, *result.settings};
+  return arguments.command == "core" ? RunCore(loaded) : RunEdge(loaded);
 }
 
 }  // namespace
 
 int main(int argument_count, char** argument_values) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until SettingsWatcher takes it
+  std::signal(SIGHUP, SIG_IGN);  // until SettingsWatcher handles it
   try {
     const Arguments arguments = Parse(argument_count, argument_values);
     if (arguments.help) {
--- a/src/fleet_main/operator_client.cpp
+++ b/src/fleet_main/operator_client.cpp
@@ -14,52 +14,52 @@
 
 using namespace http;
 
-constexpr milliseconds kPatience{5000};
-constexpr int kMostRedirects = 2;
+constexpr milliseconds kRequestTimeout{5000};
+constexpr int kMaxRedirects = 2;
 constexpr int kFailure = 1;
 constexpr int kUsage = 2;
 
-struct Command {
+struct CommandTarget {
   std::string_view name;
-  Question question;
+  MemberCommand command;
   std::string_view target;
 };
-constexpr std::array<Command, 5> kCommands = {{
-    {"members", Question::kMembers, "/-/members"},
-    {"leader", Question::kLeader, "/-/members"},
-    {"history", Question::kHistory, "/-/history"},
-    {"config-show", Question::kConfiguration, "/-/config"},
-    {"leave", Question::kLeave, "/-/leave"},
+constexpr std::array<CommandTarget, 5> kCommands = {{
+    {"members", MemberCommand::kMembers, "/-/members"},
+    {"leader", MemberCommand::kLeader, "/-/members"},
+    {"history", MemberCommand::kHistory, "/-/history"},
+    {"config-show", MemberCommand::kConfiguration, "/-/config"},
+    {"leave", MemberCommand::kLeave, "/-/leave"},
 }};
 
-std::string_view TargetOf(Question question) {
-  for (const Command& command : kCommands) {
-    if (command.question == question) return command.target;
+std::string_view TargetOf(MemberCommand command) {
+  for (const CommandTarget& known : kCommands) {
+    if (known.command == command) return known.target;
   }
   return "/-/status";
 }
 
-Request RequestFor(const node::Endpoint& endpoint, Question question) {
-  const bhttp::verb verb = question == Question::kLeave ? bhttp::verb::post : bhttp::verb::get;
-  Request request(verb, std::string(TargetOf(question)), 11);
+Request RequestFor(const node::Endpoint& endpoint, MemberCommand command) {
+  const bhttp::verb verb = command == MemberCommand::kLeave ? bhttp::verb::post : bhttp::verb::get;
+  Request request(verb, std::string(TargetOf(command)), 11);
   request.set(bhttp::field::host, endpoint.ip);
   return request;
 }
 
-std::optional<Response> AskAt(const node::Endpoint& endpoint, Question question) {
+std::optional<Response> SendRequest(const node::Endpoint& endpoint, MemberCommand command) {
   asio::io_context io(1);
   std::optional<Response> response;
-  const auto ask = [&]() -> Awaitable<void> {
+  const auto exchange = [&]() -> Awaitable<void> {
     response =
-        co_await Exchange(io, endpoint, RequestFor(endpoint, question), steady_clock::now() + kPatience);
+        co_await Exchange(io, endpoint, RequestFor(endpoint, command), steady_clock::now() + kRequestTimeout);
   };
-  asio::co_spawn(io, ask(), asio::detached);
+  asio::co_spawn(io, exchange(), asio::detached);
   io.run();
   return response;
 }
 
-// `http://IP:PORT/path` of a redirect.
-std::optional<node::Endpoint> PlaceOf(std::string_view location) {
+// Parses the Location of a redirect: `http://IP:PORT/path`.
+std::optional<node::Endpoint> ParseLocation(std::string_view location) {
   constexpr std::string_view kScheme = "http://";
   if (!location.starts_with(kScheme)) return std::nullopt;
   location.remove_prefix(kScheme.size());
@@ -75,21 +75,21 @@
   }
 }
 
-void Print(Question question, const std::string& body, std::ostream& out) {
+void Print(MemberCommand command, const std::string& body, std::ostream& out) {
   const json::Owned root = json::Load(body);
-  switch (question) {
-    case Question::kMembers:
+  switch (command) {
+    case MemberCommand::kMembers:
       return PrintList(json_object_get(root.get(), "members"), out);
-    case Question::kHistory:
+    case MemberCommand::kHistory:
       return PrintList(json_object_get(root.get(), "versions"), out);
-    case Question::kLeader: {
+    case MemberCommand::kLeader: {
       const json_t* leader = json_object_get(root.get(), "leader");
       const std::string name = json_is_string(leader) ? json_string_value(leader) : "";
       out << (name.empty() ? "none is known" : name) << '\n';
       return;
     }
-    case Question::kConfiguration:
-    case Question::kLeave:
+    case MemberCommand::kConfiguration:
+    case MemberCommand::kLeave:
       out << body << '\n';
       return;
   }
@@ -97,25 +97,25 @@
 
 }  // namespace
 
-std::optional<Question> QuestionOf(const std::string& command) {
-  for (const Command& known : kCommands) {
-    if (known.name == command) return known.question;
+std::optional<MemberCommand> ParseMemberCommand(const std::string& name) {
+  for (const CommandTarget& known : kCommands) {
+    if (known.name == name) return known.command;
   }
   return std::nullopt;
 }
 
-int AskMember(Question question, const std::string& address, bool json, std::ostream& out,
-              std::ostream& errors) {
+int RunMemberCommand(MemberCommand command, const std::string& address, bool json, std::ostream& out,
+                     std::ostream& errors) {
   auto endpoint = node::ParseEndpoint(address);
   if (!endpoint) {
     errors << "no address of a member: IP:PORT of its control interface\n";
     return kUsage;
   }
   std::optional<Response> response;
-  for (int redirects = 0; endpoint && redirects <= kMostRedirects; ++redirects) {
-    response = AskAt(*endpoint, question);
+  for (int redirects = 0; endpoint && redirects <= kMaxRedirects; ++redirects) {
+    response = SendRequest(*endpoint, command);
     if (!response || response->result() != bhttp::status::temporary_redirect) break;
-    endpoint = PlaceOf(std::string_view((*response)[bhttp::field::location]));
+    endpoint = ParseLocation(std::string_view((*response)[bhttp::field::location]));
   }
   if (!response) {
     errors << address << " does not answer\n";
@@ -128,7 +128,7 @@
   if (json) {
     out << response->body() << '\n';
   } else {
-    Print(question, response->body(), out);
+    Print(command, response->body(), out);
   }
   return 0;
 }
--- a/src/fleet_main/operator_client.h
+++ b/src/fleet_main/operator_client.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The commands that ask a running member of the control plane.
+// Client of the operator's API: the commands that call a running member of the control plane.
 #ifndef KESTRELLINE_FLEET_MAIN_OPERATOR_CLIENT_H_
 #define KESTRELLINE_FLEET_MAIN_OPERATOR_CLIENT_H_
 
@@ -10,14 +10,14 @@
 
 namespace kestrelline::fleet_main {
 
-enum class Question { kMembers, kLeader, kHistory, kConfiguration, kLeave };
-// Nothing if the command is none of these.
-std::optional<Question> QuestionOf(const std::string& command);
+enum class MemberCommand { kMembers, kLeader, kHistory, kConfiguration, kLeave };
+// Returns nothing if no such command is known.
+std::optional<MemberCommand> ParseMemberCommand(const std::string& name);
 
-// Asks the member at `address` (IP:PORT), and those that it names, at most twice. Prints a line each, or JSON
-// as it came. Returns the exit code.
-int AskMember(Question question, const std::string& address, bool json, std::ostream& out,
-              std::ostream& errors);
+// Calls the member at `address` (IP:PORT), and follows at most two redirects. Prints one line for each entry,
+// or with `json` the response body. Returns the exit code of the process.
+int RunMemberCommand(MemberCommand command, const std::string& address, bool json, std::ostream& out,
+                     std::ostream& errors);
 
 }  // namespace kestrelline::fleet_main
 
