Under the sanitizers, a test of exhausted descriptors leaves them a pipe of their own

Trace: the proxy had ended with UndefinedBehaviorSanitizer's "object has invalid vptr ... memory cannot be printed". To check a type, its runtime opens a pipe; without descriptors it takes a valid object for an invalid one. A program of ten lines that reads a field of a valid object at RLIMIT_NOFILE 3 shows the same, and not with descriptors. The proxy was right.

Change: a child that is started with few descriptors under the sanitizers gets a preloaded pipe() that may exceed the soft limit by the two ends. All checks of the sanitizers and of the test stay as they are; the proxy's own limit is the same.

--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -22,6 +22,7 @@
 
 #include "standin/address.h"
 #include "support/loopback.h"
+#include "support/sanitized.h"
 
 namespace kestrelline::testing {
 
@@ -47,8 +48,7 @@
           close_range(inherited < 0 ? kInherited : kInherited + 1, ~0U, 0) != 0)
         _exit(126);
       for (const auto& [name, value] : env) setenv(name.c_str(), value.c_str(), 1);
-      const rlimit limit{descriptors, descriptors};
-      if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &limit);
+      if (descriptors > 0) LimitDescriptors(descriptors);
       execv(PROXY_PATH, argv.data());
       _exit(127);
     }
@@ -83,6 +83,17 @@
   }
 
  private:
+  // In the child, before it executes the program. The sanitizers get a pipe of their own
+  // (pipe_above_limit.cpp).
+  static void LimitDescriptors(rlim_t descriptors) {
+    constexpr rlim_t kEndsOfAPipe = 2;
+    const rlimit limit{descriptors, kSanitized ? descriptors + kEndsOfAPipe : descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    if (!kSanitized) return;
+    setenv("LD_PRELOAD", PIPE_ABOVE_LIMIT_PATH, 1);
+    setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+  }
+
   pid_t pid_ = -1;
   int stderr_ = -1;
 };
