--- a/src/node/settings_watcher.h
+++ b/src/node/settings_watcher.h
@@ -24,8 +24,8 @@
   using OnChange = std::function<void(const Settings&)>;
 
   // Calls `on_change` with the settings of the file at `path` whenever its text differs from the last one,
-  // which is `text` at first. A file that cannot be read, is invalid or names no seeds is logged and otherwise
-  // ignored.
+  // which is `text` at first. A file that cannot be read, is invalid or names no seeds is logged and
+  // otherwise ignored.
   SettingsWatcher(boost::asio::io_context& io, std::string path, std::string text, OnChange on_change);
 
   void Start();
