--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -103,6 +103,15 @@
           }};
 }
 
+// From now on no signal ends the process, except SIGKILL. The destructors of the signal sets restore the
+// default actions, so that a signal during the exit would.
+void BlockSignalsUntilExit() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&signals, signal);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Retries for a while, since the disk may fail at the start.
 std::unique_ptr<kestrelline::control_plane::Store> OpenStore(const std::string& directory) {
   constexpr int kMaxAttempts = 60;
@@ -133,6 +142,7 @@
   watcher.Start();
   spdlog::info("started role=gateway zone={}", settings.zone);
   io.run();
+  BlockSignalsUntilExit();
   return 0;
 }
 
@@ -157,6 +167,7 @@
   watcher.Start();
   spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
   io.run();
+  BlockSignalsUntilExit();
   return 0;
 }
 
@@ -175,6 +186,7 @@
   watcher.Start();
   spdlog::info("started role=edge zone={}", settings.zone);
   io.run();
+  BlockSignalsUntilExit();
   return 0;
 }
 
