The open breaker's test counts the restarts that timeouts cause on a slow machine

The bound is now 101 and two for each timeout in the log: without one it is stricter than before, with one the same.

--- a/tests/plugin/host_test.cpp
+++ b/tests/plugin/host_test.cpp
@@ -294,9 +294,10 @@
   ASSERT_TRUE(tagger);
   for (int i = 0; i < 130; ++i) WaitFor(Ask(tagger, "throw"));
   EXPECT_FALSE(IsServing("faulty"));
-  const auto lines = std::count(log.begin(), log.end(), '\n');
-  EXPECT_GE(lines, 100);
-  EXPECT_LE(lines, 103);
+  // The faults and the suspension; and two changes of state for each timeout, which a slow machine can cause.
+  const auto lines = static_cast<std::size_t>(std::count(log.begin(), log.end(), '\n'));
+  EXPECT_GE(lines, 100u);
+  EXPECT_LE(lines, 101 + 2 * LoggedFaults("faulty", Fault::kTimeout)) << log;
   const auto request = Ask(tagger);
   EXPECT_EQ(request->verdicts, 1);  // called back before Tag returned
   EXPECT_TRUE(request->verdict.refuse);
