Signals reach the main thread alone, and only while the event loop runs

Cause: a member's thread for its disk did not block them, so a signal in the exit was delivered there.

Change: signals are blocked before threads are started, and unblocked in the main thread while the event loop runs. A signal that comes earlier waits until then. A member that still waits for its disk is ended by SIGTERM at once, as before.

--- a/src/fleet_main/main.cpp
+++ b/src/fleet_main/main.cpp
@@ -103,13 +103,21 @@
           }};
 }
 
-// From now on no signal ends the process, except SIGKILL. The destructors of the signal sets restore the
-// default actions, so that a signal during the exit would.
-void BlockSignalsUntilExit() {
+// Blocks or unblocks the signals that this program handles, for this thread and the threads that it starts
+// later.
+void SetSignalsBlocked(bool blocked) {
   sigset_t signals;
   sigemptyset(&signals);
   for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&signals, signal);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
+// Handles signals as long as `io` runs. The destructors of the signal sets restore the default actions, so
+// that a signal during the exit would end the process; the callers block signals before they start threads.
+void RunEventLoop(boost::asio::io_context& io) {
+  SetSignalsBlocked(false);
+  io.run();
+  SetSignalsBlocked(true);
 }
 
 // Retries for a while, since the disk may fail at the start.
@@ -129,6 +137,7 @@
 // A machine without a disk can't be a member: it redirects callers to the members.
 int RunGateway(const LoadedSettings& loaded) {
   const Settings& settings = loaded.settings;
+  SetSignalsBlocked(true);
   boost::asio::io_context io(1);
   boost::asio::signal_set termination_signals(io, SIGTERM, SIGINT);
   kestrelline::control_plane::ControlGateway gateway(io, settings);
@@ -141,8 +150,7 @@
   auto watcher = WatcherFor(io, loaded, gateway);
   watcher.Start();
   spdlog::info("started role=gateway zone={}", settings.zone);
-  io.run();
-  BlockSignalsUntilExit();
+  RunEventLoop(io);
   return 0;
 }
 
@@ -153,6 +161,7 @@
   auto store = OpenStore(settings.data_dir);
   if (!store) return kFailure;
   spdlog::info("store opened directory={}", settings.data_dir);
+  SetSignalsBlocked(true);
   boost::asio::io_context io(1);
   kestrelline::control_plane::ControlNode node(io, settings, std::move(store));
   if (const std::error_code error = node.Start()) {
@@ -166,13 +175,13 @@
   auto watcher = WatcherFor(io, loaded, node);
   watcher.Start();
   spdlog::info("started role=core zone={} bootstrap={}", settings.zone, settings.bootstrap);
-  io.run();
-  BlockSignalsUntilExit();
+  RunEventLoop(io);
   return 0;
 }
 
 int RunEdge(const LoadedSettings& loaded) {
   const Settings& settings = loaded.settings;
+  SetSignalsBlocked(true);
   boost::asio::io_context io(1);
   boost::asio::signal_set termination_signals(io, SIGTERM, SIGINT);  // before the first connection can come
   kestrelline::data_plane::EdgeNode node(io, settings, std::random_device{}());
@@ -185,8 +194,7 @@
   auto watcher = WatcherFor(io, loaded, node);
   watcher.Start();
   spdlog::info("started role=edge zone={}", settings.zone);
-  io.run();
-  BlockSignalsUntilExit();
+  RunEventLoop(io);
   return 0;
 }
 
