Faults of backends against the protocol are logged and counted

Change: src/backend_faults logs `backend fault kind=... backend=... request_id=... reason=... after_event=...` and counts by kind and by backend in GET /-/metrics of a proxy. EventStream checks what a backend streams; here it only reports, and what is forwarded is as before.

--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "http/sockets.h"
+
 namespace kestrelline::data_plane {
 namespace {
 
@@ -29,6 +31,7 @@
 
 Awaitable<AttemptResult> Attempt::Run(const std::string& head, const std::string& body,
                                       const std::string& request_id, steady_clock::time_point deadline) {
+  request_id_ = request_id;
   connection_ = state_.pool.AcquireIdle(backend_->info.id);
   if (!connection_) {
     connection_ = state_.pool.Create(backend_->info.address);
@@ -43,7 +46,9 @@
   ++backend_->in_flight;
   error_code error = co_await connection_->Send(head, body, deadline);
   if (!error) error = co_await connection_->ReadHead(request_id, deadline);
+  if (connection_->skipped_responses() > 0) ReportFault(backend_faults::Kind::kStrayResponse);
   if (error) {
+    ReportIfProtocolError(error);
     if (!aborted_) RecordFailure();
     connection_->Abort();
     LeaveInFlight();
@@ -93,6 +98,7 @@
 Awaitable<error_code> Attempt::ReadChunk(std::string& chunk, steady_clock::time_point deadline) {
   const error_code error = co_await connection_->ReadChunk(chunk, deadline);
   if (error) {
+    ReportIfProtocolError(error);
     if (!aborted_) RecordFailure();
     connection_->Abort();
     LeaveInFlight();
@@ -114,6 +120,7 @@
 
 void Attempt::Finish() {
   LeaveInFlight();
+  if (connection_ && connection_->HasSurplusBytes()) ReportFault(backend_faults::Kind::kSurplusBytes);
   if (connection_ && connection_->complete()) state_.pool.Release(backend_->info.id, connection_);
 }
 
@@ -126,6 +133,14 @@
   if (state_.backends.Record(*backend_, false, DecisionTime())) ++state_.counters.ejections;
 }
 
+void Attempt::ReportIfProtocolError(const error_code& error) {
+  if (!aborted_ && IsProtocolError(error)) ReportFault(backend_faults::Kind::kFraming);
+}
+
+void Attempt::ReportFault(backend_faults::Kind kind, std::string detail) {
+  state_.backend_faults.Report({kind, backend_->info.id, request_id_, std::move(detail)});
+}
+
 void Attempt::RecordSuccess() { state_.backends.Record(*backend_, true, DecisionTime()); }
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/attempt.h
+++ b/src/data_plane/attempt.h
@@ -45,6 +45,8 @@
   void Abort();
   void RecordFailure();
   void RecordSuccess();
+  // Logs and counts a fault of the backend against the protocol.
+  void ReportFault(backend_faults::Kind kind, std::string detail = "");
 
   Backend& backend() { return *backend_; }
   const BackendPtr& backend_ptr() const { return backend_; }
@@ -55,6 +57,7 @@
 
  private:
   AttemptResult Classify();
+  void ReportIfProtocolError(const error_code& error);
   void UpdateLoad();
   void RecordRejection(unsigned status);
   void LeaveInFlight();
@@ -62,6 +65,7 @@
   EdgeState& state_;
   BackendPtr backend_;
   BackendConnectionPtr connection_;
+  std::string request_id_;
   bool in_flight_ = false;
   bool aborted_ = false;
   RejectionReason rejection_ = RejectionReason::kNone;
--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -44,6 +44,7 @@
 Awaitable<error_code> BackendConnection::Send(const std::string& head, const std::string& body,
                                               steady_clock::time_point deadline) {
   reusable_ = false;
+  skipped_responses_ = 0;
   response_has_no_body_ = head.starts_with("HEAD ");
   const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(body)};
   stream_.expires_at(deadline);
@@ -53,8 +54,7 @@
 
 Awaitable<error_code> BackendConnection::ReadHead(const std::string& request_id,
                                                   steady_clock::time_point deadline) {
-  int skipped = 0;
-  while (skipped <= kMaxSkippedResponses) {
+  while (skipped_responses_ <= kMaxSkippedResponses) {
     parser_.emplace();
     parser_->skip(response_has_no_body_);
     parser_->header_limit(static_cast<std::uint32_t>(kMaxHeaderBytes));
@@ -66,12 +66,12 @@
     if (interim) continue;
     const std::string_view id = parser_->get()["Request-Id"];
     if (id == request_id) co_return error_code();
+    ++skipped_responses_;
     std::string chunk;
     do {
       const error_code failed = co_await ReadChunk(chunk, deadline);
       if (failed) co_return failed;
     } while (!chunk.empty());
-    ++skipped;
   }
   co_return asio::error::invalid_argument;
 }
--- a/src/data_plane/backend_connection.h
+++ b/src/data_plane/backend_connection.h
@@ -43,6 +43,10 @@
   const http::bhttp::response<http::bhttp::buffer_body>& head() const { return parser_->get(); }
   // The response was read completely and is not truncated.
   bool complete() const { return parser_ && parser_->is_done(); }
+  // Responses to other requests that were skipped since the latest Send().
+  int skipped_responses() const { return skipped_responses_; }
+  // Whether bytes follow the complete response.
+  bool HasSurplusBytes() const { return complete() && buffer_.size() > 0; }
   // Whether it can carry another request: no unread or surplus bytes, and the backend did not announce a
   // close.
   bool Reusable() const;
@@ -63,6 +67,7 @@
   std::optional<ResponseParser> parser_;
   std::string chunk_;
   steady_clock::time_point idle_deadline_{};
+  int skipped_responses_ = 0;
   bool reusable_ = true;
   bool response_has_no_body_ = false;  // response to a HEAD request
 };
--- a/src/data_plane/edge_node.cpp
+++ b/src/data_plane/edge_node.cpp
@@ -104,7 +104,8 @@
   if (request.target() == "/-/invariants") {
     co_return JsonResponse(bhttp::status::ok, state_.violations.Json());
   }
-  if (request.target() == "/-/metrics") co_return MetricsResponse(traffic_->MetricsText());
+  if (request.target() == "/-/metrics")
+    co_return MetricsResponse(traffic_->MetricsText() + state_.backend_faults.MetricsText());
   if (request.target() != "/-/readyz") co_return ErrorResponse(bhttp::status::not_found, "no such resource");
   if (Ready()) co_return JsonResponse(bhttp::status::ok, "{\"ready\":true}");
   co_return JsonResponse(bhttp::status::service_unavailable, "{\"ready\":false}");
--- a/src/data_plane/edge_state.h
+++ b/src/data_plane/edge_state.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 
+#include "backend_faults/backend_faults.h"
 #include "configuration/route_table.h"
 #include "data_plane/backend_connection.h"
 #include "data_plane/backend_table.h"
@@ -56,6 +57,7 @@
   DrainSchedule drain;
   OpenRequests open_requests;
   invariants::Violations violations;
+  backend_faults::BackendFaults backend_faults;
 };
 
 // Converts the steady clock to the time type of the decision code.
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -242,10 +242,15 @@
 Awaitable<bool> RequestFlow::ForwardStream(Attempt& attempt) {
   AnnounceCloseIfStopping();
   if (!client_.stream_begun()) client_.BeginStream(ResponseHead(attempt.head()));
+  checked_.BeginRun();
   std::string chunk;
   active_ = &attempt;
   while (true) {
     const error_code error = co_await attempt.ReadChunk(chunk, give_up_at_);
+    if (!error && checked_.fault() == StreamFault::kNone) {
+      chunk.empty() ? checked_.Finish() : checked_.Append(chunk);
+      if (checked_.fault() != StreamFault::kNone) ReportStreamFault(attempt);
+    }
     if (client_.disconnected()) {
       if (!client_.stream_begun()) co_await GiveUp();
       break;
@@ -271,6 +276,13 @@
   co_return true;
 }
 
+void RequestFlow::ReportStreamFault(Attempt& attempt) const {
+  const StreamFault fault = checked_.fault();
+  const bool unfinished = fault == StreamFault::kUnfinished || fault == StreamFault::kEmpty;
+  attempt.ReportFault(unfinished ? backend_faults::Kind::kUnfinished : backend_faults::Kind::kEvent,
+                      std::string("reason=") + Name(fault) + " after_event=" + checked_.last_id());
+}
+
 void RequestFlow::RecordEvents() {
   const auto now = steady_clock::now();
   open_->stage = RequestStage::kResponseBegun;
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -14,6 +14,7 @@
 
 #include "data_plane/attempt.h"
 #include "data_plane/event_splitter.h"
+#include "data_plane/event_stream.h"
 #include "data_plane/retry_account.h"
 
 namespace kestrelline::data_plane {
@@ -54,6 +55,8 @@
   Awaitable<void> ForwardBuffered(Attempt& attempt);
   Awaitable<bool> ForwardStream(Attempt& attempt);
   Awaitable<void> ResumeStream();
+  // Reports what makes the stream of the attempt invalid.
+  void ReportStreamFault(Attempt& attempt) const;
   // Records that events were forwarded to the client.
   void RecordEvents();
   // After an attempt without a response: excludes the backend and returns whether another attempt is allowed.
@@ -107,6 +110,7 @@
   bool truncated_ = false;  // a started response was truncated by its backend or by the deadline
   std::optional<PrefilledPrompt> prefilled_;  // a finished prefill whose KV cache was not handed over yet
   EventSplitter events_;
+  EventStream checked_;  // what `events_` returns is not checked yet
 };
 
 }  // namespace kestrelline::data_plane
