Failing tests: streams from backends that send garbage break ORDER

A stand-in backend puts garbage into its streams: first, between, within, at the end and after, in chunks, outside of them and in bodies without a length, 11 contents, going on or ending after it. The soak counts a backend that sends garbage among those that break off.

--- a/src/fleet_soak/fleet.cpp
+++ b/src/fleet_soak/fleet.cpp
@@ -27,7 +27,8 @@
 constexpr int kSlots = 16;
 
 bool BrokeOff(Fault fault) {
-  return fault == Fault::kCloseUnanswered || fault == Fault::kBreakStream || fault == Fault::kUnframedReset;
+  return fault == Fault::kCloseUnanswered || fault == Fault::kBreakStream || fault == Fault::kUnframedReset ||
+         fault == Fault::kGarbage;
 }
 
 void Write(const std::string& path, const std::string& text) {
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -13,17 +13,10 @@
 
 using namespace http;
 
-constexpr int kBreaksAfter = 2;  // whole events
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 constexpr std::size_t kLongestBody = 8 * 1024 * 1024;
 constexpr milliseconds kBeforeReadingOn{30};
 
-std::string Chunk(const std::string& text) {
-  char head[24];
-  std::snprintf(head, sizeof head, "%zx\r\n", text.size());
-  return head + text + "\r\n";
-}
-
 int NumberOf(const bhttp::request<bhttp::string_body>& request, const char* field, int otherwise) {
   const std::string text(request[field]);
   return text.empty() ? otherwise : std::stoi(text);
@@ -74,9 +67,22 @@
   const std::lock_guard lock(mutex_);
   faults_.insert(faults_.end(), faults.begin(), faults.end());
 }
+void Backend::ExpectGarbage(const Garbage& garbage) {
+  const std::lock_guard lock(mutex_);
+  faults_.push_back(Fault::kGarbage);
+  garbage_.push_back(garbage);
+}
 void Backend::ExpectNoFaults() {
   const std::lock_guard lock(mutex_);
   faults_.clear();
+  garbage_.clear();
+}
+Garbage Backend::NextGarbage() {
+  const std::lock_guard lock(mutex_);
+  if (garbage_.empty()) return {};
+  const Garbage garbage = garbage_.front();
+  garbage_.pop_front();
+  return garbage;
 }
 Fault Backend::Next() {
   const std::lock_guard lock(mutex_);
@@ -289,6 +295,7 @@
     co_return co_await AnswerUnframed(stream, id, fault == Fault::kUnframedReset);
   }
   const bool streams = !request["Model-Name"].empty();
+  if (streams && fault == Fault::kGarbage) co_return co_await StreamWithGarbage(stream, request);
   if (streams) co_return co_await Stream(stream, request, fault);
   if (const int work_ms = NumberOf(request, "Work-Ms", 0); work_ms > 0) {
     asio::steady_timer work(io_, milliseconds(work_ms));
@@ -307,7 +314,7 @@
   std::string head = Head("200 OK", id, fault != Fault::kNoStamp);
   head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   if (!co_await Write(stream, std::move(head))) co_return false;
-  const int breaks_at = event + kBreaksAfter;
+  const int breaks_at = event + kEventsBeforeFault;
   const std::string padding(options_.padding_bytes, 'x');
   asio::steady_timer timer(io_);
   const int events = NumberOf(request, "Stream-Events", options_.events);
@@ -315,8 +322,7 @@
       NumberOf(request, "Stream-Between-Ms", static_cast<int>(options_.between.count())));
   while (event < events) {
     ++event;
-    const std::string text =
-        "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + padding + "\n\n";
+    const std::string text = EventText(event, padding);
     if (fault == Fault::kBreakStream && event > breaks_at) {
       co_await Write(stream, Chunk(text.substr(0, text.size() / 2)));
       co_return false;
@@ -325,7 +331,30 @@
     timer.expires_after(between);
     co_await timer.async_wait(kTuple);
   }
-  co_return co_await Write(stream, "0\r\n\r\n");
+  co_return co_await Write(stream, std::string(kLastChunk));
+}
+
+Awaitable<bool> Backend::StreamWithGarbage(beast::tcp_stream& stream, const Request& request) {
+  const Garbage garbage = NextGarbage();
+  const std::string last(request["Last-Event-Id"]);
+  StreamText text;
+  text.first_event = last.empty() ? 1 : std::stoi(last) + 1;
+  text.last_event = NumberOf(request, "Stream-Events", options_.events);
+  text.padding = std::string(options_.padding_bytes, 'x');
+  const milliseconds between(
+      NumberOf(request, "Stream-Between-Ms", static_cast<int>(options_.between.count())));
+  const bool framed = garbage.framing != GarbageFraming::kUnframed;
+  std::string head = Head("200 OK", std::string(request["Request-Id"]), true);
+  head += "Content-Type: text/event-stream\r\n";
+  head += framed ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n";
+  if (!co_await Write(stream, std::move(head))) co_return false;
+  asio::steady_timer timer(io_);
+  for (const std::string& piece : BodyWithGarbage(text, garbage)) {
+    if (!co_await Write(stream, piece)) co_return false;
+    timer.expires_after(between);
+    co_await timer.async_wait(kTuple);
+  }
+  co_return framed;
 }
 
 }  // namespace kestrelline::fleet_standin
--- a/src/fleet_standin/backend.h
+++ b/src/fleet_standin/backend.h
@@ -14,6 +14,7 @@
 #include <system_error>
 #include <vector>
 
+#include "fleet_standin/garbage.h"
 #include "http/asio.h"
 #include "node/settings.h"
 #include "wire/messages.h"
@@ -36,6 +37,7 @@
   kUnframedReset,    // the same, and the connection is reset in the middle
   kEarlyRefusal,     // 503, Not-Executed, before the body is in, which is read on later
   kHang,             // runs it and says nothing
+  kGarbage,          // sends garbage in its stream, see ExpectGarbage()
 };
 
 // One arrival, as the backend saw it.
@@ -68,6 +70,8 @@
   void Close();
   // For the next requests, one each, in this order.
   void Expect(std::vector<Fault> faults);
+  // The next request gets a stream with that garbage in it.
+  void ExpectGarbage(const Garbage& garbage);
   // What was expected and has not come yet will not come.
   void ExpectNoFaults();
   std::vector<Arrival> arrivals() const;
@@ -85,9 +89,11 @@
   // False: the connection ends.
   http::Awaitable<bool> Answer(http::beast::tcp_stream& stream, const Request& request);
   http::Awaitable<bool> Stream(http::beast::tcp_stream& stream, const Request& request, Fault fault);
+  http::Awaitable<bool> StreamWithGarbage(http::beast::tcp_stream& stream, const Request& request);
   http::Awaitable<bool> Write(http::beast::tcp_stream& stream, std::string text);
   std::string Head(const std::string& status, const std::string& request_id, bool stamped) const;
   Fault Next();
+  Garbage NextGarbage();
   std::string Report() const;
   bool TakeIfNext(Fault fault);
   http::Awaitable<bool> RefuseEarly(http::beast::tcp_stream& stream, const Request& head);
@@ -101,6 +107,7 @@
   http::Tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
   std::deque<Fault> faults_;
+  std::deque<Garbage> garbage_;  // one for each Fault::kGarbage
   std::vector<Arrival> arrivals_;
   std::vector<std::string> orders_;
   std::size_t connections_ = 0;
