Streams from backends are checked event by event before they are forwarded

Cause: the proxy took whatever a backend sent between an accepted head and the end of its framing for events. Whole blocks, and the remainder at the end, were forwarded unseen; the end of the framing was taken for the end of the stream. Change: EventStream passes on whole, valid events alone (one rising id, data, known fields, text), in every form that text/event-stream allows. At the first byte that fits none, or an end within an event or without any, the backend counts as failed, its connection is closed, and a resumable stream goes on at another backend after the last event that was forwarded; others end visibly incomplete. Heads are checked before anything of them is used. An answer counts once for its backend: as a success when it has ended well. ARequestWithoutPromptHeaders... expected a body that is no event stream on a streaming route, from a stand-in that streamed only to requests with Model-Name; it now compares the whole stream, byte for byte.

--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -17,9 +17,11 @@
 
 }  // namespace
 
-Attempt::Attempt(EdgeState& state, BackendPtr backend) : state_(state), backend_(std::move(backend)) {}
+Attempt::Attempt(EdgeState& state, BackendPtr backend, ExpectedResponse expected)
+    : state_(state), backend_(std::move(backend)), expected_(expected) {}
 
 Attempt::~Attempt() {
+  if (success_pending_) RecordSuccess();                // the client left before the end
   if (in_flight_ && connection_) connection_->Abort();  // closing the connection makes the backend stop
   LeaveInFlight();
 }
@@ -48,12 +50,15 @@
   if (!error) error = co_await connection_->ReadHead(request_id, deadline);
   if (connection_->skipped_responses() > 0) ReportFault(backend_faults::Kind::kStrayResponse);
   if (error) {
-    ReportIfProtocolError(error);
-    if (!aborted_) RecordFailure();
-    connection_->Abort();
-    LeaveInFlight();
+    RecordError(error);
+    CloseConnection();
     co_return error == beast::error::timeout ? AttemptResult::kTimedOut : AttemptResult::kConnectionLost;
   }
+  const HeadFault fault = CheckHead(connection_->head(), expected_);
+  if (fault != HeadFault::kNone) {
+    Reject(backend_faults::Kind::kHead, std::string("reason=") + Name(fault));
+    co_return AttemptResult::kConnectionLost;
+  }
   UpdateLoad();
   co_return Classify();
 }
@@ -81,7 +86,7 @@
   if (status >= kFirstServerError) {
     RecordFailure();
   } else {
-    RecordSuccess();
+    success_pending_ = true;
   }
   return AttemptResult::kResponded;
 }
@@ -98,10 +103,8 @@
 Awaitable<error_code> Attempt::ReadChunk(std::string& chunk, steady_clock::time_point deadline) {
   const error_code error = co_await connection_->ReadChunk(chunk, deadline);
   if (error) {
-    ReportIfProtocolError(error);
-    if (!aborted_) RecordFailure();
-    connection_->Abort();
-    LeaveInFlight();
+    RecordError(error);
+    CloseConnection();
   }
   co_return error;
 }
@@ -121,6 +124,7 @@
 void Attempt::Finish() {
   LeaveInFlight();
   if (connection_ && connection_->HasSurplusBytes()) ReportFault(backend_faults::Kind::kSurplusBytes);
+  if (success_pending_) RecordSuccess();
   if (connection_ && connection_->complete()) state_.pool.Release(backend_->info.id, connection_);
 }
 
@@ -129,18 +133,36 @@
   if (connection_) connection_->Abort();
 }
 
-void Attempt::RecordFailure() {
-  if (state_.backends.Record(*backend_, false, DecisionTime())) ++state_.counters.ejections;
+void Attempt::CloseConnection() {
+  connection_->Abort();
+  LeaveInFlight();
 }
 
-void Attempt::ReportIfProtocolError(const error_code& error) {
-  if (!aborted_ && IsProtocolError(error)) ReportFault(backend_faults::Kind::kFraming);
+void Attempt::Reject(backend_faults::Kind kind, std::string detail) {
+  ReportFault(kind, std::move(detail));
+  CloseConnection();
 }
 
 void Attempt::ReportFault(backend_faults::Kind kind, std::string detail) {
   state_.backend_faults.Report({kind, backend_->info.id, request_id_, std::move(detail)});
+  RecordFailure();
+}
+
+// An attempt that this proxy aborted says nothing about the backend.
+void Attempt::RecordError(const error_code& error) {
+  if (aborted_) return;
+  if (IsProtocolError(error)) return ReportFault(backend_faults::Kind::kFraming);
+  RecordFailure();
 }
 
-void Attempt::RecordSuccess() { state_.backends.Record(*backend_, true, DecisionTime()); }
+void Attempt::RecordFailure() {
+  success_pending_ = false;
+  if (state_.backends.Record(*backend_, false, DecisionTime())) ++state_.counters.ejections;
+}
+
+void Attempt::RecordSuccess() {
+  success_pending_ = false;
+  state_.backends.Record(*backend_, true, DecisionTime());
+}
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/attempt.h
+++ b/src/data_plane/attempt.h
@@ -10,6 +10,7 @@
 
 #include "data_plane/client_connection.h"
 #include "data_plane/edge_state.h"
+#include "data_plane/response_head.h"
 
 namespace kestrelline::data_plane {
 
@@ -26,7 +27,7 @@
 
 class Attempt {
  public:
-  Attempt(EdgeState& state, BackendPtr backend);
+  Attempt(EdgeState& state, BackendPtr backend, ExpectedResponse expected);
   ~Attempt();
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
@@ -40,12 +41,13 @@
   Awaitable<error_code> ReadChunk(std::string& chunk, steady_clock::time_point deadline);
   // Reads the whole body; fails with message_size if it is longer than `limit` bytes.
   Awaitable<error_code> ReadBody(std::string& body, std::size_t limit, steady_clock::time_point deadline);
-  // Call after the whole response was read: returns the connection to the pool if it can be reused.
+  // Call after the whole response was read and found valid: returns the connection to the pool if it can be
+  // reused.
   void Finish();
   void Abort();
-  void RecordFailure();
-  void RecordSuccess();
-  // Logs and counts a fault of the backend against the protocol.
+  // The response is not valid: as ReportFault(), and closes the connection, so that the backend stops.
+  void Reject(backend_faults::Kind kind, std::string detail);
+  // Logs and counts a fault of the backend against the protocol; it counts as a failure of the backend.
   void ReportFault(backend_faults::Kind kind, std::string detail = "");
 
   Backend& backend() { return *backend_; }
@@ -53,11 +55,13 @@
   const http::bhttp::response<http::bhttp::buffer_body>& head() const { return connection_->head(); }
   // Valid after AttemptResult::kNotExecuted.
   RejectionReason rejection() const { return rejection_; }
-  bool has_server_stamp() const { return head().count("Server-Stamp") > 0; }
 
  private:
   AttemptResult Classify();
-  void ReportIfProtocolError(const error_code& error);
+  void RecordError(const error_code& error);
+  void RecordFailure();
+  void RecordSuccess();
+  void CloseConnection();
   void UpdateLoad();
   void RecordRejection(unsigned status);
   void LeaveInFlight();
@@ -65,8 +69,10 @@
   EdgeState& state_;
   BackendPtr backend_;
   BackendConnectionPtr connection_;
+  const ExpectedResponse expected_;
   std::string request_id_;
   bool in_flight_ = false;
+  bool success_pending_ = false;  // counts as a success unless the rest of the response fails
   bool aborted_ = false;
   RejectionReason rejection_ = RejectionReason::kNone;
 };
--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -15,7 +15,9 @@
 
 using namespace http;
 
-constexpr int kMaxSkippedResponses = 2;            // late responses to earlier requests
+constexpr int kMaxSkippedResponses = 2;  // late responses to earlier requests
+constexpr int kMaxInterimResponses = 8;  // 1xx, before the final response
+constexpr unsigned kFirstFinalStatus = 200;
 constexpr milliseconds kDefaultIdleTimeout{4000};  // if the backend announces no Keep-Alive timeout
 constexpr milliseconds kIdleTimeoutMargin{700};    // closed this long before the backend would close it
 
@@ -54,7 +56,8 @@
 
 Awaitable<error_code> BackendConnection::ReadHead(const std::string& request_id,
                                                   steady_clock::time_point deadline) {
-  while (skipped_responses_ <= kMaxSkippedResponses) {
+  int interim_responses = 0;
+  while (skipped_responses_ <= kMaxSkippedResponses && interim_responses <= kMaxInterimResponses) {
     parser_.emplace();
     parser_->skip(response_has_no_body_);
     parser_->header_limit(static_cast<std::uint32_t>(kMaxHeaderBytes));
@@ -62,7 +65,8 @@
     stream_.expires_at(deadline);
     const auto [error, read] = co_await bhttp::async_read_header(stream_, buffer_, *parser_, kTuple);
     if (error) co_return error;
-    const bool interim = parser_->get().result_int() < 200;
+    const bool interim = parser_->get().result_int() < kFirstFinalStatus;
+    interim_responses += interim;
     if (interim) continue;
     const std::string_view id = parser_->get()["Request-Id"];
     if (id == request_id) co_return error_code();
@@ -73,7 +77,7 @@
       if (failed) co_return failed;
     } while (!chunk.empty());
   }
-  co_return asio::error::invalid_argument;
+  co_return bhttp::error::unexpected_body;  // none of them was the response that is due
 }
 
 Awaitable<error_code> BackendConnection::ReadChunk(std::string& chunk, steady_clock::time_point deadline) {
--- a/src/data_plane/event_stream.cpp
+++ b/src/data_plane/event_stream.cpp
@@ -131,8 +131,8 @@
 void EventStream::ContinueAfter(std::string_view id) {
   const auto number = ParseNumber(id);
   if (!number) return;
-  last_number_ = number;
-  had_event_ = true;
+  returned_.last_number = number;
+  returned_.any_event = true;
 }
 
 void EventStream::Fail(StreamFault fault) {
@@ -141,16 +141,16 @@
 
 std::string EventStream::Append(std::string_view bytes) {
   if (fault_ != StreamFault::kNone) return {};
+  Progress before = returned_;
   const std::size_t text_bytes = text_.CountText(bytes);
   held_.append(bytes.substr(0, text_bytes));
   std::string forwarded = AwaitsByteOrderMark() ? std::string() : Take(CheckLines());
   if (text_bytes < bytes.size()) Fail(StreamFault::kNotText);
-  if (fault_ != StreamFault::kNone) {
-    held_.clear();
-  } else if (held_.size() > kMaxHeldBytes) {
-    forwarded += TakeOversized();
-  }
-  return forwarded;
+  if (fault_ == StreamFault::kNone && held_.size() > kMaxHeldBytes) forwarded += TakeOversized();
+  if (fault_ == StreamFault::kNone) return forwarded;
+  held_.clear();
+  returned_ = std::move(before);
+  return {};
 }
 
 std::string EventStream::Finish() {
@@ -159,7 +159,7 @@
   const bool in_field = in_returned_line_ || (held_.size() > line_begin_ && !in_comment);
   if (in_field || block_.IsEvent()) {
     Fail(StreamFault::kUnfinished);
-  } else if (!had_event_) {
+  } else if (!returned_.any_event) {
     Fail(StreamFault::kEmpty);
   }
   if (fault_ == StreamFault::kNone) return std::exchange(held_, {});
@@ -181,13 +181,12 @@
   const bool in_comment = line.starts_with(kCommentMark);
   if (!block_.id && (block_.HasFields() || !in_comment)) {
     Fail(StreamFault::kOversized);
-    held_.clear();
     return {};
   }
   const std::string_view name = SplitField(line).name;
   const bool any_value = name.size() < line.size() && (name == kData || name == kEvent);
   in_returned_line_ = in_returned_line_ || in_comment || any_value;
-  returned_partial_event_ = block_.HasFields();
+  returned_.partial_event = block_.HasFields();
   return Take(in_returned_line_ ? held_.size() : line_begin_);
 }
 
@@ -196,7 +195,7 @@
   if (held_.size() < kByteOrderMark.size() && kByteOrderMark.starts_with(held_)) return true;
   at_start_ = false;
   if (!held_.starts_with(kByteOrderMark)) return false;
-  if (first_run_) {
+  if (!returned_.any_event) {
     line_begin_ = scanned_ = kByteOrderMark.size();
   } else {
     held_.erase(0, kByteOrderMark.size());  // allowed at the start of a stream only
@@ -272,7 +271,7 @@
   if (block_.id) return Fail(StreamFault::kRepeatedField);
   block_.id = ParseNumber(value);
   if (!block_.id) return Fail(StreamFault::kInvalidNumber);
-  if (last_number_ && *block_.id <= *last_number_) return Fail(StreamFault::kIdNotRising);
+  if (returned_.last_number && *block_.id <= *returned_.last_number) return Fail(StreamFault::kIdNotRising);
   block_.id_text = value;
 }
 
@@ -288,11 +287,7 @@
   if (!block.IsEvent()) return;
   if (!block.id) return Fail(StreamFault::kMissingId);
   if (!block.has_data) return Fail(StreamFault::kMissingData);
-  last_number_ = block.id;
-  last_id_ = block.id_text;
-  had_event_ = true;
-  first_run_ = false;
-  returned_partial_event_ = false;
+  returned_ = {block.id, block.id_text, true, false};
 }
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/event_stream.h
+++ b/src/data_plane/event_stream.h
@@ -60,7 +60,8 @@
   // The stream continues one that the client received up to the event `id`. Ignored unless it is a number.
   void ContinueAfter(std::string_view id);
 
-  // Takes the next bytes. Returns what may be forwarded: all before the first byte of an invalid event.
+  // Takes the next bytes. Returns what may be forwarded; nothing if a fault is among the bytes, since it may
+  // have altered an event that they complete.
   std::string Append(std::string_view bytes);
   // The stream has ended, by its framing. Returns the remainder, which holds no event.
   std::string Finish();
@@ -68,9 +69,9 @@
   // After a fault nothing more is returned until the next run.
   StreamFault fault() const { return fault_; }
   // The id of the last whole event; empty before the first.
-  const std::string& last_id() const { return last_id_; }
+  const std::string& last_id() const { return returned_.last_id; }
   // Part of an unfinished event was returned, so no other run can continue the stream.
-  bool returned_partial_event() const { return returned_partial_event_; }
+  bool returned_partial_event() const { return returned_.partial_event; }
 
  private:
   // Fields seen in the current event.
@@ -85,6 +86,14 @@
     bool IsEvent() const { return id || has_version || has_data || has_event; }
   };
 
+  // What was returned so far, over all runs.
+  struct Progress {
+    std::optional<std::uint64_t> last_number;
+    std::string last_id;
+    bool any_event = false;
+    bool partial_event = false;
+  };
+
   void Fail(StreamFault fault);
   // Whether the bytes held may be the start of a byte order mark; skips a whole one.
   bool AwaitsByteOrderMark();
@@ -106,14 +115,10 @@
   bool at_start_ = true;                // of a run, where a byte order mark is allowed
   bool after_carriage_return_ = false;  // a line feed that follows belongs to the same line end
   bool in_returned_line_ = false;       // the beginning of the current line was checked and returned
-  bool returned_partial_event_ = false;
-  bool first_run_ = true;
-  bool had_event_ = false;
   TextChecker text_;
   Block block_;
+  Progress returned_;
   StreamFault fault_ = StreamFault::kNone;
-  std::optional<std::uint64_t> last_number_;
-  std::string last_id_;
 };
 
 }  // namespace kestrelline::data_plane
--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -34,7 +34,7 @@
 Awaitable<void> SendRelease(EdgeState& state, BackendPtr source, std::string handle) {
   const std::string head = "DELETE /-/kv-handle/" + handle + " HTTP/1.1\r\nHost: " + source->info.address +
                            "\r\nExpect-Instance: " + source->info.id + "\r\nContent-Length: 0\r\n\r\n";
-  Attempt attempt(state, source);
+  Attempt attempt(state, source, ExpectedResponse::kAny);
   const auto deadline = steady_clock::now() + kReleaseTimeout;
   const AttemptResult result = co_await attempt.Run(head, "", "", deadline);
   if (result != AttemptResult::kResponded) co_return;
@@ -55,6 +55,7 @@
 }
 
 Awaitable<void> RequestFlow::RunGeneration() {
+  if (route_->resumable) events_.ContinueAfter(request()["Last-Event-Id"]);
   for (int attempts = 0; attempts < kMaxAttempts && !client_.disconnected() && !OutOfTime(); ++attempts) {
     const auto target = co_await NextTarget();
     if (client_.disconnected()) break;
@@ -62,7 +63,7 @@
     if (!target->backend || !AcquireRetryBudget()) break;
     std::optional<PendingPrefill> pending;
     if (target->prefill_ms > 0) pending.emplace(target->backend, prompt_, target->prefill_ms, DecisionTime());
-    Attempt attempt(state_, target->backend);
+    Attempt attempt(state_, target->backend, Expected());
     const TimePoint sent_at = DecisionTime();
     const AttemptResult result = co_await SendToExecute(attempt, target->fields);
     pending.reset();
@@ -71,7 +72,7 @@
       prefilled_.reset();  // the decode backend has taken the KV cache
       ++possible_executions_;
       co_await ForwardResponse(attempt);
-      if (handed_over) {
+      if (handed_over && client_.answered()) {
         state_.demand.RecordGeneration(service_, static_cast<double>(prompt_.output_tokens),
                                        (DecisionTime() - sent_at).count());
       }
@@ -133,7 +134,7 @@
 Awaitable<std::optional<RequestFlow::PrefilledPrompt>> RequestFlow::Prefill(Pick pick) {
   const TimePoint started_at = DecisionTime();
   const PendingPrefill pending(pick.backend, prompt_, pick.work_ms, started_at);
-  Attempt attempt(state_, pick.backend);
+  Attempt attempt(state_, pick.backend, ExpectedResponse::kPrefill);
   const auto deadline =
       std::min(give_up_at_, DeadlineIn(pick.ready_ms * kPrefillTimeoutFactor + kPrefillTimeoutMarginMs));
   const std::string fields = "Serving-Stage: prefill\r\n" + PriorityField();
@@ -162,15 +163,15 @@
 
 // Continues a resumable stream at another backend, after the last complete event.
 Awaitable<void> RequestFlow::ResumeStream() {
-  while (!client_.disconnected() && route_->resumable && MayExecuteAgain() && !OutOfTime() &&
-         AcquireRetryBudget()) {
+  while (!client_.disconnected() && route_->resumable && !events_.returned_partial_event() &&
+         MayExecuteAgain() && !OutOfTime() && AcquireRetryBudget()) {
     const TimePoint now = DecisionTime();
     const Pick pick = state_.placement.PickCombined(service_, prompt_, excluded_, now);
     if (!pick.backend) break;
     PendingPrefill pending(pick.backend, prompt_, pick.work_ms, now);
     std::string fields = PriorityField();
     if (!events_.last_id().empty()) fields += "Last-Event-Id: " + events_.last_id() + "\r\n";
-    Attempt attempt(state_, pick.backend);
+    Attempt attempt(state_, pick.backend, Expected());
     const AttemptResult result = co_await SendToExecute(attempt, fields);
     pending.End();
     excluded_.push_back(pick.backend.get());
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -38,6 +38,10 @@
 
 constexpr std::string_view kLastEventId = "Last-Event-Id";
 
+bool IsSuccess(const bhttp::response<bhttp::buffer_body>& head) {
+  return bhttp::to_status_class(head.result()) == bhttp::status_class::successful;
+}
+
 std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -123,7 +127,7 @@
     if (client_.disconnected()) break;
     const Pick pick = state_.placement.PickPlain(service_, excluded_, DecisionTime());
     if (!pick.backend || OutOfTime() || !AcquireRetryBudget()) co_return co_await GiveUp();
-    Attempt attempt(state_, pick.backend);
+    Attempt attempt(state_, pick.backend, Expected());
     const AttemptResult result = co_await SendToExecute(attempt, "");
     if (result == AttemptResult::kResponded) {
       ++possible_executions_;
@@ -212,16 +216,17 @@
 // --- responses ---
 
 Awaitable<void> RequestFlow::ForwardResponse(Attempt& attempt) {
-  const bool success = attempt.head().result_int() / 100 == 2;
-  if (success && !attempt.has_server_stamp()) {
-    attempt.RecordFailure();
-    co_return co_await GiveUp();
-  }
-  if (success && route_->type == configuration::RouteType::kStreaming) {
-    if (!co_await ForwardStream(attempt)) co_await ResumeStream();
-    co_return;
-  }
-  co_await ForwardBuffered(attempt);
+  const bool streams = Expected() == ExpectedResponse::kEvents && IsSuccess(attempt.head());
+  if (!streams) co_return co_await ForwardBuffered(attempt);
+  if (co_await ForwardStream(attempt)) co_return;
+  excluded_.push_back(&attempt.backend());
+  co_await ResumeStream();
+}
+
+ExpectedResponse RequestFlow::Expected() const {
+  const bool streams = route_->type == configuration::RouteType::kStreaming;
+  const bool has_body = client_.request().method() != bhttp::verb::head;
+  return streams && has_body ? ExpectedResponse::kEvents : ExpectedResponse::kWhole;
 }
 
 Awaitable<void> RequestFlow::ForwardBuffered(Attempt& attempt) {
@@ -238,35 +243,35 @@
   co_await client_.WriteResponse(std::move(head), body);
 }
 
-// Forwards events as they arrive. Returns false if the stream was truncated.
+// Forwards events as they arrive. Returns false if the stream was truncated, or is not valid from some byte
+// on.
 Awaitable<bool> RequestFlow::ForwardStream(Attempt& attempt) {
   AnnounceCloseIfStopping();
   if (!client_.stream_begun()) client_.BeginStream(ResponseHead(attempt.head()));
-  checked_.BeginRun();
+  events_.BeginRun();
   std::string chunk;
   active_ = &attempt;
   while (true) {
     const error_code error = co_await attempt.ReadChunk(chunk, give_up_at_);
-    if (!error && checked_.fault() == StreamFault::kNone) {
-      chunk.empty() ? checked_.Finish() : checked_.Append(chunk);
-      if (checked_.fault() != StreamFault::kNone) ReportStreamFault(attempt);
-    }
     if (client_.disconnected()) {
       if (!client_.stream_begun()) co_await GiveUp();
       break;
     }
-    if (error) {
-      events_.DropPartial();
+    const bool ended = !error && chunk.empty();
+    std::string events;
+    if (!error) events = ended ? events_.Finish() : events_.Append(chunk);
+    const bool valid = events_.fault() == StreamFault::kNone;
+    if (!valid) RejectStream(attempt);
+    if (error || !valid) {
       active_ = nullptr;
       co_return false;
     }
-    const std::string events = chunk.empty() ? events_.TakeRemainder() : events_.Append(chunk);
     if (!events.empty()) RecordEvents();
     if (!events.empty() && co_await client_.WriteChunk(events)) {
       client_.Close();
       break;
     }
-    if (!chunk.empty()) continue;
+    if (!ended) continue;
     attempt.Finish();
     ++state_.counters.answered;
     co_await client_.EndStream();
@@ -276,11 +281,11 @@
   co_return true;
 }
 
-void RequestFlow::ReportStreamFault(Attempt& attempt) const {
-  const StreamFault fault = checked_.fault();
+void RequestFlow::RejectStream(Attempt& attempt) const {
+  const StreamFault fault = events_.fault();
   const bool unfinished = fault == StreamFault::kUnfinished || fault == StreamFault::kEmpty;
-  attempt.ReportFault(unfinished ? backend_faults::Kind::kUnfinished : backend_faults::Kind::kEvent,
-                      std::string("reason=") + Name(fault) + " after_event=" + checked_.last_id());
+  attempt.Reject(unfinished ? backend_faults::Kind::kUnfinished : backend_faults::Kind::kEvent,
+                 std::string("reason=") + Name(fault) + " after_event=" + events_.last_id());
 }
 
 void RequestFlow::RecordEvents() {
--- a/src/data_plane/request_flow.h
+++ b/src/data_plane/request_flow.h
@@ -13,7 +13,6 @@
 #include <string>
 
 #include "data_plane/attempt.h"
-#include "data_plane/event_splitter.h"
 #include "data_plane/event_stream.h"
 #include "data_plane/retry_account.h"
 
@@ -55,8 +54,8 @@
   Awaitable<void> ForwardBuffered(Attempt& attempt);
   Awaitable<bool> ForwardStream(Attempt& attempt);
   Awaitable<void> ResumeStream();
-  // Reports what makes the stream of the attempt invalid.
-  void ReportStreamFault(Attempt& attempt) const;
+  // Rejects a stream that is not valid.
+  void RejectStream(Attempt& attempt) const;
   // Records that events were forwarded to the client.
   void RecordEvents();
   // After an attempt without a response: excludes the backend and returns whether another attempt is allowed.
@@ -82,6 +81,7 @@
   Awaitable<AttemptResult> SendToExecute(Attempt& attempt, const std::string& extra_fields);
   std::string BackendHead(const Backend& backend, const std::string& extra_fields) const;
   std::string PriorityField() const;
+  ExpectedResponse Expected() const;
 
   Awaitable<void> SendUnavailable(milliseconds retry_after);
   Awaitable<void> GiveUp();
@@ -109,8 +109,7 @@
   int possible_executions_ = 0;
   bool truncated_ = false;  // a started response was truncated by its backend or by the deadline
   std::optional<PrefilledPrompt> prefilled_;  // a finished prefill whose KV cache was not handed over yet
-  EventSplitter events_;
-  EventStream checked_;  // what `events_` returns is not checked yet
+  EventStream events_;
 };
 
 }  // namespace kestrelline::data_plane
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -47,6 +47,20 @@
   return handles_.size();
 }
 
+GarbageTable& GarbageTable::Instance() {
+  static GarbageTable table;
+  return table;
+}
+void GarbageTable::Add(const std::string& request_id, const Garbage& garbage) {
+  const std::lock_guard lock(mutex_);
+  by_request_[request_id] = garbage;
+}
+std::optional<Garbage> GarbageTable::Take(const std::string& request_id) {
+  const std::lock_guard lock(mutex_);
+  const auto entry = by_request_.extract(request_id);
+  return entry ? std::optional(entry.mapped()) : std::nullopt;
+}
+
 Backend::Backend(asio::io_context& io, BackendOptions options)
     : io_(io), options_(std::move(options)), acceptor_(io) {}
 
@@ -216,9 +230,11 @@
   co_return !error;
 }
 
-std::string Backend::Head(const std::string& status, const std::string& request_id, bool stamped) const {
+std::string Backend::Head(const std::string& status, const std::string& request_id, bool stamped,
+                          bool bad_load) const {
   std::string head = "HTTP/1.1 " + status + "\r\nRequest-Id: " + request_id + "\r\n";
   if (stamped) head += "Server-Stamp: " + options_.instance.id + "\r\n";
+  if (bad_load) return head + "Backend-Load: 2147483647,2147483647,1\r\n";
   return head + "Backend-Load: 1,0," + std::to_string(options_.instance.slots) + "\r\n";
 }
 
@@ -264,7 +280,8 @@
   }
   if (request["Serving-Stage"] == "prefill") {
     Record(request, false);
-    const std::string handle = HandleTable::Instance().Add(options_.instance.address);
+    std::string handle = HandleTable::Instance().Add(options_.instance.address);
+    if (fault == Fault::kBadHandle) handle += "\\r\\nRequest-Id: made-up";  // escaped as in JSON
     co_return co_await Write(stream,
                              WithBody(Head("200 OK", id, false),
                                       "{\"kv_handle\":\"" + handle + "\",\"tokens\":10,\"version\":1}"));
@@ -294,24 +311,49 @@
   if (fault == Fault::kUnframed || fault == Fault::kUnframedReset) {
     co_return co_await AnswerUnframed(stream, id, fault == Fault::kUnframedReset);
   }
-  const bool streams = !request["Model-Name"].empty();
-  if (streams && fault == Fault::kGarbage) co_return co_await StreamWithGarbage(stream, request);
+  const bool streams = options_.instance.decode || !request["Model-Name"].empty();
+  if (const auto answer = SpoiledAnswer(id, fault)) co_return co_await Write(stream, *answer);
+  if (const auto garbage = GarbageTable::Instance().Take(id); streams && garbage)
+    co_return co_await StreamWithGarbage(stream, request, *garbage);
+  if (streams && fault == Fault::kGarbage)
+    co_return co_await StreamWithGarbage(stream, request, NextGarbage());
   if (streams) co_return co_await Stream(stream, request, fault);
   if (const int work_ms = NumberOf(request, "Work-Ms", 0); work_ms > 0) {
     asio::steady_timer work(io_, milliseconds(work_ms));
     co_await work.async_wait(kTuple);
   }
-  std::string answer = WithBody(Head("200 OK", id, fault != Fault::kNoStamp), "body of " + id);
+  std::string answer =
+      WithBody(Head("200 OK", id, fault != Fault::kNoStamp, fault == Fault::kBadLoad), "body of " + id);
   if (fault == Fault::kExtraAnswer) answer += std::string(answer);
   if (request.method() == bhttp::verb::head) answer.resize(answer.find(kEndOfHead) + kEndOfHead.size());
   co_return co_await Write(stream, std::move(answer));
 }
 
+// Whole answers that are spoiled, as bytes; empty for other faults.
+std::optional<std::string> Backend::SpoiledAnswer(const std::string& id, Fault fault) const {
+  const std::string head = Head("200 OK", id, true);
+  const std::string event = EventText(1, "");
+  switch (fault) {
+    case Fault::kNoAnswer:
+      return BytesOf(GarbageContent::kBinary) + "\r\n\r\n";
+    case Fault::kContradiction:
+      return WithBody(head + "Not-Executed: 1\r\n", event);
+    case Fault::kTwoIds:
+      return WithBody(head + "Request-Id: of-another\r\n", event);
+    case Fault::kEncoded:
+      return WithBody(head + "Content-Encoding: gzip\r\n", event);
+    case Fault::kWrongType:
+      return WithBody(head + "Content-Type: text/html\r\n", event);
+    default:
+      return std::nullopt;
+  }
+}
+
 Awaitable<bool> Backend::Stream(beast::tcp_stream& stream, const Request& request, Fault fault) {
   const std::string id(request["Request-Id"]);
   const std::string last(request["Last-Event-Id"]);
   int event = last.empty() ? 0 : std::stoi(last);
-  std::string head = Head("200 OK", id, fault != Fault::kNoStamp);
+  std::string head = Head("200 OK", id, fault != Fault::kNoStamp, fault == Fault::kBadLoad);
   head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   if (!co_await Write(stream, std::move(head))) co_return false;
   const int breaks_at = event + kEventsBeforeFault;
@@ -334,8 +376,8 @@
   co_return co_await Write(stream, std::string(kLastChunk));
 }
 
-Awaitable<bool> Backend::StreamWithGarbage(beast::tcp_stream& stream, const Request& request) {
-  const Garbage garbage = NextGarbage();
+Awaitable<bool> Backend::StreamWithGarbage(beast::tcp_stream& stream, const Request& request,
+                                           Garbage garbage) {
   const std::string last(request["Last-Event-Id"]);
   StreamText text;
   text.first_event = last.empty() ? 1 : std::stoi(last) + 1;
--- a/src/fleet_standin/backend.h
+++ b/src/fleet_standin/backend.h
@@ -7,6 +7,7 @@
 #define KESTRELLINE_FLEET_STANDIN_BACKEND_H_
 
 #include <deque>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -38,6 +39,13 @@
   kEarlyRefusal,     // 503, Not-Executed, before the body is in, which is read on later
   kHang,             // runs it and says nothing
   kGarbage,          // sends garbage in its stream, see ExpectGarbage()
+  kNoAnswer,         // bytes that are no answer
+  kContradiction,    // a success that says it has not run
+  kTwoIds,           // a success with the id of another request beside its own
+  kEncoded,          // a success with an encoded body
+  kWrongType,        // a success that is no event stream
+  kBadLoad,          // its own answer, with a load that is none
+  kBadHandle,        // a prefill whose handle would begin a field of its own
 };
 
 // One arrival, as the backend saw it.
@@ -89,9 +97,12 @@
   // False: the connection ends.
   http::Awaitable<bool> Answer(http::beast::tcp_stream& stream, const Request& request);
   http::Awaitable<bool> Stream(http::beast::tcp_stream& stream, const Request& request, Fault fault);
-  http::Awaitable<bool> StreamWithGarbage(http::beast::tcp_stream& stream, const Request& request);
+  http::Awaitable<bool> StreamWithGarbage(http::beast::tcp_stream& stream, const Request& request,
+                                          Garbage garbage);
   http::Awaitable<bool> Write(http::beast::tcp_stream& stream, std::string text);
-  std::string Head(const std::string& status, const std::string& request_id, bool stamped) const;
+  std::string Head(const std::string& status, const std::string& request_id, bool stamped,
+                   bool bad_load = false) const;
+  std::optional<std::string> SpoiledAnswer(const std::string& id, Fault fault) const;
   Fault Next();
   Garbage NextGarbage();
   std::string Report() const;
@@ -127,6 +138,18 @@
   int next_ = 1;
 };
 
+// Garbage for single requests: the first backend of this process that runs such a request takes it.
+class GarbageTable {
+ public:
+  static GarbageTable& Instance();
+  void Add(const std::string& request_id, const Garbage& garbage);
+  std::optional<Garbage> Take(const std::string& request_id);
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, Garbage> by_request_;
+};
+
 }  // namespace kestrelline::fleet_standin
 
 #endif  // KESTRELLINE_FLEET_STANDIN_BACKEND_H_
--- a/src/fleet_standin/garbage.cpp
+++ b/src/fleet_standin/garbage.cpp
@@ -37,34 +37,6 @@
   return garbage.place != GarbagePlace::kEnd || !garbage.goes_on;
 }
 
-std::string BytesOf(GarbageContent content) {
-  switch (content) {
-    case GarbageContent::kNothing:
-      return "";
-    case GarbageContent::kLine:
-      return "not a field of anything\n";
-    case GarbageContent::kBlock:
-      return "\n\nnot a field of anything\n\n";
-    case GarbageContent::kBinary:
-      return std::string("\x00\xFF\x13\x80garbage\xC3\x28\xF5\n", 16);
-    case GarbageContent::kNoId:
-      return "data: made up\n\n";
-    case GarbageContent::kEmptyId:
-      return "id:\ndata: made up\n\n";
-    case GarbageContent::kInvalidId:
-      return "id: next\ndata: made up\n\n";
-    case GarbageContent::kOldId:
-      return "id: 1\ndata: made up\n\n";
-    case GarbageContent::kUnknownField:
-      return "id: 900\ncontent: made up\n\n";
-    case GarbageContent::kInvalidVersion:
-      return "versions: new\nid: 900\ndata: made up\n\n";
-    case GarbageContent::kResponse:
-      return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nmade up";
-  }
-  return "";
-}
-
 constexpr std::size_t kCutFromEnd = 4;  // of an event: its data is begun and not whole
 
 // Frames events and garbage.
@@ -104,6 +76,34 @@
 
 }  // namespace
 
+std::string BytesOf(GarbageContent content) {
+  switch (content) {
+    case GarbageContent::kNothing:
+      return "";
+    case GarbageContent::kLine:
+      return "not a field of anything\n";
+    case GarbageContent::kBlock:
+      return "\n\nnot a field of anything\n\n";
+    case GarbageContent::kBinary:
+      return std::string("\x00\xFF\x13\x80garbage\xC3\x28\xF5\n", 16);
+    case GarbageContent::kNoId:
+      return "data: made up\n\n";
+    case GarbageContent::kEmptyId:
+      return "id:\ndata: made up\n\n";
+    case GarbageContent::kInvalidId:
+      return "id: next\ndata: made up\n\n";
+    case GarbageContent::kOldId:
+      return "id: 1\ndata: made up\n\n";
+    case GarbageContent::kUnknownField:
+      return "id: 900\ncontent: made up\n\n";
+    case GarbageContent::kInvalidVersion:
+      return "versions: new\nid: 900\ndata: made up\n\n";
+    case GarbageContent::kResponse:
+      return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nmade up";
+  }
+  return "";
+}
+
 std::string Chunk(const std::string& text) {
   std::array<char, 24> head{};
   std::snprintf(head.data(), head.size(), "%zx\r\n", text.size());
--- a/src/fleet_standin/garbage.h
+++ b/src/fleet_standin/garbage.h
@@ -49,6 +49,7 @@
 // A fault that is neither first nor at the end comes after this many whole events.
 inline constexpr int kEventsBeforeFault = 2;
 inline constexpr const char* kLastChunk = "0\r\n\r\n";
+std::string BytesOf(GarbageContent content);
 std::string Chunk(const std::string& text);
 std::string EventText(int event, const std::string& padding);
 
--- /dev/null
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a backend sends beside its streams: heads, loads, handles, stage reports; and the counters of its
+// faults.
+#include <gtest/gtest.h>
+
+#include "backend_faults/backend_faults.h"
+#include "data_plane/response_head.h"
+
+namespace kestrelline::data_plane {
+namespace {
+
+using Head = http::bhttp::response<http::bhttp::buffer_body>;
+
+Head Sound(unsigned status = 200) {
+  Head head;
+  head.result(status);
+  head.set("Request-Id", "r1");
+  head.set("Server-Stamp", "a0");
+  return head;
+}
+
+TEST(ResponseHead, ValidHeads) {
+  Head head = Sound();
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kNone);
+  head.set("Content-Type", "Text/Event-Stream ; charset=utf-8");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kNone);
+  head.set("Content-Encoding", "identity");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kNone);
+  head = Sound(503);
+  head.erase("Server-Stamp");
+  head.set("Not-Executed", "1");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kNone);
+  head = Sound();
+  head.erase("Server-Stamp");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kPrefill), HeadFault::kNone);
+}
+
+TEST(ResponseHead, InvalidHeads) {
+  EXPECT_EQ(CheckHead(Sound(999), ExpectedResponse::kWhole), HeadFault::kStatus);
+  Head head = Sound();
+  head.insert("Request-Id", "r2");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kPrefill), HeadFault::kRequestId);
+  head = Sound();
+  head.set("Not-Executed", "1");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kContradiction);
+  head = Sound();
+  head.insert("Server-Stamp", "a1");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kStamp);
+  head.erase("Server-Stamp");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kStamp);
+  head = Sound();
+  head.set("Content-Encoding", "gzip");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kEncoding);
+  head = Sound();
+  head.set("Content-Type", "text/html");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kContentType);
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kNone);
+}
+
+TEST(BackendFaults, AreCountedByKindAndByBackend) {
+  backend_faults::BackendFaults faults;
+  faults.Report({backend_faults::Kind::kEvent, "i-1", "r1", "reason=missing_id"});
+  faults.Report({backend_faults::Kind::kEvent, "i-\"2", "r2", ""});
+  faults.Report({backend_faults::Kind::kLoad, "i-1", "r3", ""});
+  EXPECT_EQ(faults.count(backend_faults::Kind::kEvent), 2u);
+  const std::string text = faults.MetricsText();
+  EXPECT_NE(text.find("kestrelline_backend_faults_total{kind=\"event\"} 2\n"), std::string::npos);
+  EXPECT_NE(text.find("kestrelline_backend_faults_total{kind=\"report\"} 0\n"), std::string::npos);
+  EXPECT_NE(text.find("kestrelline_backend_faults_by_backend_total{backend=\"i-1\"} 2\n"), std::string::npos);
+  EXPECT_NE(text.find("kestrelline_backend_faults_by_backend_total{backend=\"i-\\\"2\"} 1\n"),
+            std::string::npos);
+  for (std::size_t i = 0; i < 2 * backend_faults::BackendFaults::kMaxBackends; ++i) {
+    faults.Report({backend_faults::Kind::kEvent, "j" + std::to_string(i), "", ""});
+  }
+  EXPECT_EQ(faults.count(backend_faults::Kind::kEvent), 2u + 2 * backend_faults::BackendFaults::kMaxBackends);
+  EXPECT_EQ(faults.MetricsText().find("j600"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace kestrelline::data_plane
--- a/tests/data_plane/decisions_test.cpp
+++ b/tests/data_plane/decisions_test.cpp
@@ -6,7 +6,6 @@
 
 #include "data_plane/backend_table.h"
 #include "data_plane/demand_meter.h"
-#include "data_plane/event_splitter.h"
 #include "data_plane/placement.h"
 #include "data_plane/prompt.h"
 #include "data_plane/retry_account.h"
@@ -48,27 +47,6 @@
   EXPECT_EQ(ParsePrompt("9,9", many).blocks.size(), kMaxBlocks);
 }
 
-// --- events ---
-
-TEST(EventSplitter, ReturnsOnlyCompleteEventsAndTracksTheLastId) {
-  EventSplitter events;
-  EXPECT_EQ(events.Append("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-  EXPECT_EQ(events.last_id(), "1");
-  EXPECT_EQ(events.Append("ta: b\n"), "");
-  EXPECT_EQ(events.Append("\n"), "id: 2\ndata: b\n\n");
-  EXPECT_EQ(events.last_id(), "2");
-  EXPECT_EQ(events.Append("id: 3\n"), "");
-  events.DropPartial();
-  EXPECT_EQ(events.TakeRemainder(), "");
-  EXPECT_EQ(events.last_id(), "2");
-}
-
-TEST(EventSplitter, AnOverlongEventIsForwardedInPieces) {
-  EventSplitter events;
-  const std::string piece(EventSplitter::kMaxEventBytes + 1, 'x');
-  EXPECT_EQ(events.Append(piece).size(), piece.size());
-}
-
 // --- retry budget ---
 
 TEST(RetryAccount, FirstPrefillAndFirstExecutionNeedNoBudget) {
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -122,6 +122,7 @@
     bool members_on_edges = false;  // member i runs beside proxy i, at its address
     int gateways = 0;               // control processes without a disk
     int tolerated = 1;
+    int min_retries = 200;  // of the retry budget
     // Proxies and gateways reach the members through links that can be cut.
     bool linked = false;
   };
@@ -393,7 +394,7 @@
     text += "[listen]\n";
     text += core ? listen("control", kControl) : listen("front", kFront) + listen("ready", kReady);
     text += "[limits]\nmax_fds = 1000\n[fault_tolerance]\nmachines = " + std::to_string(options_.tolerated) +
-            "\n[bounds]\ngrace_s = 6\nmin_retries = 200\n";
+            "\n[bounds]\ngrace_s = 6\nmin_retries = " + std::to_string(options_.min_retries) + "\n";
     text += "lease_ms = 300\n[relay]\nmost_subscribers = " + std::to_string(options_.max_subscribers) +
             "\n[cloud]\naddress = \"" + Ip(200) + ":" + std::to_string(kPlatform) + "\"\nrate_per_s = 50\n";
     folder_.Write(name + ".toml", text);
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -3,6 +3,7 @@
 // Streams through real proxies from backends that send garbage (rule ORDER, incident of 5 December 2026).
 #include <gtest/gtest.h>
 
+#include "router_fleet/client_socket.h"
 #include "router_fleet/fleet_fixture.h"
 #include "router_fleet/stream_body.h"
 
@@ -12,22 +13,22 @@
 using fleet_standin::AllGarbage;
 using fleet_standin::Garbage;
 using fleet_standin::GarbagePlace;
+using fleet_standin::GarbageTable;
 
 constexpr int kEvents = 5;
 const std::string kPromptFields = "Model-Name: m\r\nToken-Count: 300,50\r\nPrompt-Prefix: aa:200,bb:100\r\n";
 
-// Puts the garbage into the next stream, whichever backend it comes from; into no other one.
-Answer AskWithGarbage(Fleet& fleet, const std::vector<std::string>& backends, const std::string& id,
-                      const Garbage& garbage) {
-  for (const std::string& backend : backends) fleet.backend(backend).ExpectGarbage(garbage);
-  // The others are told before the stream has ended, so that one which continues it is sound.
-  std::thread clearer([&] {
-    Eventually([&] { return fleet.Runs(id) > 0; }, milliseconds(2000));
-    for (const std::string& backend : backends) fleet.backend(backend).ExpectNoFaults();
-  });
-  const Answer answer = fleet.Send(0, "/llm/x", id, kPromptFields);
-  clearer.join();
-  return answer;
+// Every stream may be continued elsewhere: the retry budget is no limit.
+Fleet::Options ManyRetries() {
+  Fleet::Options options = Fleet::Split(1, 6);
+  options.min_retries = 20000;
+  return options;
+}
+
+// The first stream of the request has garbage in it.
+Answer AskWithGarbage(const Fleet& fleet, const std::string& id, const Garbage& garbage) {
+  GarbageTable::Instance().Add(id, garbage);
+  return fleet.Send(0, "/llm/x", id, kPromptFields);
 }
 
 // A backend that sent garbage may have been ejected; all are back in service for the next request.
@@ -37,14 +38,21 @@
       [&] { return fleet.Send(0, "/llm/x", "sound" + std::to_string(number++), kPromptFields).ended_well; }));
 }
 
+// Of the proxy that the requests of these tests go to.
+std::string Metrics(const Fleet& fleet) {
+  return Ask(fleet.EdgeIp(0), Fleet::kReady,
+             "GET /-/metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+      .text;
+}
+
 TEST(StreamsWithGarbage, AStreamThatMayNotBeResumedEndsVisiblyIncomplete) {
-  Fleet fleet(Fleet::Split(1, 6));
+  Fleet fleet(ManyRetries());
   ASSERT_TRUE(fleet.Begin(false));
   int number = 0, broken = 0;
   for (const Garbage& garbage : AllGarbage()) {
     SCOPED_TRACE(Describe(garbage));
     const std::string id = "g" + std::to_string(number++);
-    const Answer answer = AskWithGarbage(fleet, {"d0", "d1", "d2", "d3", "d4", "d5"}, id, garbage);
+    const Answer answer = AskWithGarbage(fleet, id, garbage);
     const std::string violation = OrderViolation(answer, kEvents);
     broken += !violation.empty();
     EXPECT_EQ(violation, "");
@@ -52,18 +60,17 @@
     EXPECT_EQ(fleet.Runs(id), 1);
     AwaitService(fleet);
   }
-  RecordProperty("streams", number);
   std::cout << broken << " of " << number << " spoiled streams broke ORDER\n";
 }
 
 TEST(StreamsWithGarbage, AResumableStreamGoesOnElsewhere) {
-  Fleet fleet(Fleet::Split(1, 6));
+  Fleet fleet(ManyRetries());
   ASSERT_TRUE(fleet.Begin(true));
   int number = 0, broken = 0;
   for (const Garbage& garbage : AllGarbage()) {
     SCOPED_TRACE(Describe(garbage));
     const std::string id = "g" + std::to_string(number++);
-    const Answer answer = AskWithGarbage(fleet, {"d0", "d1", "d2", "d3", "d4", "d5"}, id, garbage);
+    const Answer answer = AskWithGarbage(fleet, id, garbage);
     const std::string violation = OrderViolation(answer, kEvents);
     broken += !violation.empty();
     EXPECT_EQ(violation, "");
@@ -75,5 +82,64 @@
   std::cout << broken << " of " << number << " spoiled streams broke ORDER\n";
 }
 
+// --- other messages of backends ---
+
+TEST(BackendGarbage, ASpoiledHeadIsNotForwardedAndAResumableStreamRunsElsewhere) {
+  Fleet fleet(ManyRetries());
+  ASSERT_TRUE(fleet.Begin(true));
+  int number = 0;
+  for (const Fault fault : {Fault::kNoAnswer, Fault::kContradiction, Fault::kTwoIds, Fault::kEncoded,
+                            Fault::kWrongType, Fault::kNoStamp}) {
+    const std::string id = "h" + std::to_string(number++);
+    // Two runs are allowed, and the second one is at another backend.
+    for (const char* backend : {"d0", "d1", "d2"}) fleet.backend(backend).Expect({fault});
+    const Answer answer = fleet.Send(0, "/llm/x", id, kPromptFields);
+    EXPECT_EQ(OrderViolation(answer, kEvents), "") << id;
+    EXPECT_LE(fleet.Runs(id), 2);
+    EXPECT_FALSE(answer.Has("of-another")) << id;
+    EXPECT_TRUE(answer.ended_well) << answer.text;
+    for (const char* backend : {"d0", "d1", "d2"}) fleet.backend(backend).ExpectNoFaults();
+    AwaitService(fleet);
+  }
+}
+
+TEST(BackendGarbage, ASpoiledPlainAnswerIsNotForwarded) {
+  Fleet fleet(Fleet::Plain(1));
+  ASSERT_TRUE(fleet.Begin());
+  int number = 0;
+  for (const Fault fault : {Fault::kNoAnswer, Fault::kContradiction, Fault::kTwoIds, Fault::kEncoded}) {
+    const std::string id = "u" + std::to_string(number++);
+    fleet.backend("a0").Expect({fault});
+    const Answer answer = fleet.Send(0, "/app/x", id);
+    EXPECT_EQ(answer.status, 502) << id;
+    EXPECT_FALSE(answer.Has("Server-Stamp")) << id;
+    EXPECT_EQ(fleet.Runs(id), 1);
+  }
+}
+
+TEST(BackendGarbage, TheFaultCountsAgainstItsBackend) {
+  Fleet fleet(ManyRetries());
+  ASSERT_TRUE(fleet.Begin(true));
+  // d0 spoils whatever it is asked; the others never do.
+  constexpr int kSpoiled = 50;
+  for (int i = 0; i < kSpoiled; ++i) fleet.backend("d0").ExpectGarbage(Garbage{});
+  constexpr int kRequests = 60;
+  for (int i = 0; i < kRequests; ++i) {
+    const Answer answer = fleet.Send(0, "/llm/x", "e" + std::to_string(i), kPromptFields);
+    EXPECT_EQ(OrderViolation(answer, kEvents), "");
+    EXPECT_TRUE(answer.ended_well);
+  }
+  const std::size_t asked = fleet.backend("d0").arrivals().size();
+  EXPECT_GT(asked, 0u);
+  EXPECT_LT(asked, kRequests / 6u) << "it is not ejected";
+  const std::string metrics = Metrics(fleet);
+  EXPECT_NE(
+      metrics.find("kestrelline_backend_faults_by_backend_total{backend=\"d0\"} " + std::to_string(asked)),
+      std::string::npos)
+      << metrics;
+  EXPECT_EQ(metrics.find("backend=\"d1\""), std::string::npos);
+  EXPECT_NE(fleet.Log().find("backend fault kind=event backend=d0"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace kestrelline::router_fleet
--- a/tests/router_fleet/requests_test.cpp
+++ b/tests/router_fleet/requests_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "router_fleet/fleet_fixture.h"
+#include "router_fleet/stream_body.h"
 
 namespace kestrelline::router_fleet {
 namespace {
@@ -123,7 +124,7 @@
   const Answer answer = fleet.Send(0, "/llm/x", "r1");
   EXPECT_EQ(answer.status, 200);
   EXPECT_TRUE(answer.ended_well);
-  EXPECT_TRUE(answer.Has("body of r1"));
+  EXPECT_EQ(ChunkedBody(answer.text), fleet_soak::ExpectedBody(fleet_soak::Kind::kStream, "r1", 5));
   EXPECT_EQ(fleet.backend("p0").arrivals().size(), 0u);
   EXPECT_EQ(fleet.Runs("r1"), 1);
 }
