--- a/src/data_plane/client_connection.cpp
+++ b/src/data_plane/client_connection.cpp
@@ -217,6 +217,16 @@
   stream_.close();
 }
 
+// Without chunks the end of the connection is the end of the body, unless the connection is reset.
+void ClientConnection::CloseIncomplete() {
+  error_code ignored;
+  if (!chunked_) {
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream_.socket().close(ignored);
+  }
+  Close();
+}
+
 Awaitable<void> ClientConnection::CloseGracefully() {
   serving_ = true;  // not idle: the last bytes are still being sent
   if (stream_.socket().is_open() && (buffer_.size() > 0 || Peek(stream_.socket()) == Peeked::kBytes)) {
--- a/src/data_plane/client_connection.h
+++ b/src/data_plane/client_connection.h
@@ -67,6 +67,8 @@
   bool serving() const { return serving_; }
   // Number of requests read, including the current one.
   std::size_t requests_read() const { return requests_read_; }
+  // Ends a streamed response that is incomplete, so that the client can tell.
+  void CloseIncomplete();
   // Closes immediately. Pipelined requests that were read but not served are dropped.
   void Close();
   // Closes in such a way that the last response still arrives, although unread bytes remain in the receive
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -315,7 +315,7 @@
       spdlog::warn("answer cut while stopping {}",
                    LogFields(*open_, steady_clock::now(), state_.drain.sigterm_at()));
     }
-    client_.Close();
+    client_.CloseIncomplete();
     co_return;
   }
   if (possible_executions_ == 0) co_return co_await SendUnavailable(kRetryAfterRejected);
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -141,5 +141,17 @@
   EXPECT_NE(fleet.Log().find("backend fault kind=event backend=d0"), std::string::npos);
 }
 
+TEST(BackendGarbage, AnIncompleteStreamWithoutChunksEndsWithAReset) {
+  Fleet fleet(ManyRetries());
+  ASSERT_TRUE(fleet.Begin(false));
+  GarbageTable::Instance().Add("old", Garbage{});
+  ClientSocket client(fleet.EdgeIp(0), Fleet::kFront);
+  ASSERT_TRUE(
+      client.Send("POST /llm/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: old\r\nDeadline-Ms: 4000\r\n" +
+                  kPromptFields + "Content-Length: 0\r\n\r\n"));
+  EXPECT_TRUE(client.IsReset(milliseconds(3000)));
+  EXPECT_EQ(fleet.Runs("old"), 1);
+}
+
 }  // namespace
 }  // namespace kestrelline::router_fleet
