A handle from a backend is checked before it goes into another request

Change: unreserved characters only, 256 bytes at most, beside a number of tokens and a version; anything else is a fault of the backend. Test: BackendGarbage.AHandleThatHoldsAFieldIsNotSentOn and PrefillResponse.*.

--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -4,8 +4,8 @@
 // resumption of truncated streams.
 #include <utility>
 
+#include "data_plane/prefill_response.h"
 #include "data_plane/request_flow.h"
-#include "json/owned.h"
 
 namespace kestrelline::data_plane {
 namespace {
@@ -19,14 +19,6 @@
 constexpr double kPrefillTimeoutMarginMs = 1200;
 constexpr milliseconds kReleaseTimeout{500};
 
-// Parses the KV cache handle from the response of a prefill backend; empty if there is none.
-std::optional<std::string> ParseHandle(const std::string& body) {
-  const json::Owned root = json::Load(body);
-  const json_t* handle = root ? json_object_get(root.get(), "kv_handle") : nullptr;
-  if (!json_is_string(handle)) return std::nullopt;
-  return json_string_value(handle);
-}
-
 steady_clock::time_point DeadlineIn(double ms) {
   return steady_clock::now() + std::chrono::duration_cast<steady_clock::duration>(Duration(ms));
 }
@@ -152,8 +144,9 @@
   retry_account_.RecordPrefill(prefilled);
   if (!error) attempt.Finish();
   if (!prefilled) co_return std::nullopt;
-  auto handle = ParseHandle(body);
+  auto handle = ParsePrefillResponse(body);
   if (!handle) {
+    attempt.ReportFault(backend_faults::Kind::kHandle);
     ++possible_executions_;  // the response is not that of a prefill, so the request may have run
     co_return std::nullopt;
   }
--- a/tests/data_plane/backend_responses_test.cpp
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "backend_faults/backend_faults.h"
+#include "data_plane/prefill_response.h"
 #include "data_plane/response_head.h"
 
 namespace kestrelline::data_plane {
@@ -58,6 +59,25 @@
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kNone);
 }
 
+TEST(PrefillResponse, AHandleCannotBeginAFieldOrAnotherPath) {
+  EXPECT_EQ(ParsePrefillResponse(R"({"kv_handle":"3fa09c41b7d5","tokens":1460,"version":1})"),
+            "3fa09c41b7d5");
+  EXPECT_EQ(ParsePrefillResponse(R"({"kv_handle":"a-b_c.D~9","tokens":0,"version":0})"), "a-b_c.D~9");
+  const std::string long_handle(300, 'a');
+  for (const std::string& handle :
+       {std::string(R"(a\r\nRequest-Id: x)"), std::string("a b"), std::string("a/b"), std::string("a?b"),
+        std::string(".."), std::string(""), std::string(R"(a\u0000b)"), long_handle}) {
+    EXPECT_EQ(ParsePrefillResponse("{\"kv_handle\":\"" + handle + "\",\"tokens\":1,\"version\":1}"),
+              std::nullopt)
+        << handle;
+  }
+  for (const char* body :
+       {"", "garbage", "[]", R"({"kv_handle":7,"tokens":1,"version":1})", R"({"kv_handle":"a"})",
+        R"({"kv_handle":"a","tokens":-1,"version":1})", R"({"kv_handle":"a","tokens":1,"version":"new"})"}) {
+    EXPECT_EQ(ParsePrefillResponse(body), std::nullopt) << body;
+  }
+}
+
 TEST(BackendFaults, AreCountedByKindAndByBackend) {
   backend_faults::BackendFaults faults;
   faults.Report({backend_faults::Kind::kEvent, "i-1", "r1", "reason=missing_id"});
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -117,6 +117,18 @@
   }
 }
 
+TEST(BackendGarbage, AHandleThatHoldsAFieldIsNotSentOn) {
+  Fleet fleet(Fleet::Split(2, 2));
+  ASSERT_TRUE(fleet.Begin());
+  for (const char* backend : {"p0", "p1"}) fleet.backend(backend).Expect({Fault::kBadHandle});
+  const Answer answer = fleet.Generate(0, "r1");
+  EXPECT_EQ(OrderViolation(answer, kEvents), "");
+  EXPECT_LE(fleet.Runs("r1"), 1);
+  for (const char* backend : {"p0", "p1", "d0", "d1"}) {
+    for (const auto& arrival : fleet.backend(backend).arrivals()) EXPECT_EQ(arrival.request_id, "r1");
+  }
+}
+
 TEST(BackendGarbage, TheFaultCountsAgainstItsBackend) {
   Fleet fleet(ManyRetries());
   ASSERT_TRUE(fleet.Begin(true));
