A load from a backend is taken whole or not at all

Change: exactly three whole numbers up to 1,000,000, in one field; anything else leaves the known load and counts as a fault of the backend. Tests: BackendGarbage.ALoadThatIsNoneIsNotTakenOver, BackendLoad.IsTakenWholeOrNotAtAll.

--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -64,8 +64,11 @@
 }
 
 void Attempt::UpdateLoad() {
-  const std::string_view load = head()["Backend-Load"];
-  if (load.empty() || !ParseLoad(load, backend_->load)) return;
+  const std::size_t fields = head().count("Backend-Load");
+  if (fields == 0) return;
+  if (fields > 1 || !ParseLoad(head()["Backend-Load"], backend_->load)) {
+    return ReportFault(backend_faults::Kind::kLoad);
+  }
   backend_->load.own_requests = backend_->in_flight;
   backend_->load.reported_at = DecisionTime();
 }
--- a/src/data_plane/backend.cpp
+++ b/src/data_plane/backend.cpp
@@ -1,10 +1,20 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "data_plane/backend.h"
 
+#include <array>
 #include <charconv>
 #include <vector>
 
 namespace kestrelline::data_plane {
+namespace {
+
+std::string_view Trimmed(std::string_view text) {
+  while (text.starts_with(' ')) text.remove_prefix(1);
+  while (text.ends_with(' ')) text.remove_suffix(1);
+  return text;
+}
+
+}  // namespace
 
 void Backend::RecordRejection(TimePoint now) {
   constexpr Duration kInitialBackoff{150};
@@ -13,15 +23,24 @@
   ++consecutive_rejections;
 }
 
+void Backend::RecordReusedAddress(TimePoint now) {
+  constexpr Duration kAskAgainAfter{10000};
+  address_reused = true;
+  ask_again_at = now + kAskAgainAfter;
+}
+
 bool ParseLoad(std::string_view text, LoadHint& hint) {
-  int values[3] = {};
-  const char* next = text.data();
-  const char* const end = next + text.size();
-  for (int i = 0; i < 3; ++i) {
-    while (next != end && (*next == ' ' || *next == ',')) ++next;
-    const auto [parsed_end, error] = std::from_chars(next, end, values[i]);
-    if (error != std::errc() || values[i] < 0) return false;
-    next = parsed_end;
+  constexpr int kMaxValue = 1'000'000;  // far above any number of slots; sums of values fit into an int
+  constexpr std::size_t kValues = 3;
+  std::array<int, kValues> values{};
+  for (std::size_t i = 0; i < kValues; ++i) {
+    const std::size_t comma = i + 1 < kValues ? text.find(',') : text.size();
+    if (comma == std::string_view::npos) return false;
+    const std::string_view value = Trimmed(text.substr(0, comma));
+    const char* const end = value.data() + value.size();
+    const auto [parsed_end, error] = std::from_chars(value.data(), end, values[i]);
+    if (error != std::errc() || parsed_end != end || values[i] < 0 || values[i] > kMaxValue) return false;
+    text.remove_prefix(std::min(comma + 1, text.size()));
   }
   hint.running = values[0];
   hint.waiting = values[1];
--- a/src/data_plane/backend.h
+++ b/src/data_plane/backend.h
@@ -25,7 +25,8 @@
   bool known = false;
 };
 
-// Parses "running,waiting,slots". On malformed input it returns false and leaves `hint` unchanged.
+// Parses "running,waiting,slots", whole numbers with optional spaces around the commas. On malformed input it
+// returns false and leaves `hint` unchanged.
 bool ParseLoad(std::string_view text, LoadHint& hint);
 
 // Prompt prefixes that a backend has processed for this proxy, with the time of their last use.
@@ -44,8 +45,9 @@
   wire::Instance info;
   OutlierDetector::Host health;
   bool listed = true;           // on the newest list
-  bool address_reused = false;  // another instance answered at this address
-  int in_flight = 0;            // requests of this proxy without a complete response
+  bool address_reused = false;  // another instance answered at this address, until it is asked again
+  TimePoint ask_again_at{};
+  int in_flight = 0;  // requests of this proxy without a complete response
   // After a rejection the backend is avoided for a backoff that grows with each consecutive rejection.
   // Rejections indicate load or a changing stage, so they do not count as failures.
   TimePoint backoff_until{};
@@ -62,6 +64,8 @@
 
   bool InService() const { return listed && !info.draining && !address_reused; }
   void RecordRejection(TimePoint now);
+  // Another instance seems to have the address. A backend may say so by mistake, so it is asked again later.
+  void RecordReusedAddress(TimePoint now);
   void ResetBackoff() { consecutive_rejections = 0; }
 };
 using BackendPtr = std::shared_ptr<Backend>;
--- a/tests/data_plane/backend_responses_test.cpp
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "backend_faults/backend_faults.h"
+#include "data_plane/backend_table.h"
 #include "data_plane/prefill_response.h"
 #include "data_plane/response_head.h"
 
@@ -59,6 +60,21 @@
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kNone);
 }
 
+TEST(BackendLoad, IsTakenWholeOrNotAtAll) {
+  LoadHint hint;
+  EXPECT_TRUE(ParseLoad("3,0,8", hint));
+  EXPECT_TRUE(ParseLoad(" 4 , 1 , 16 ", hint));
+  EXPECT_EQ(hint.running, 4);
+  EXPECT_EQ(hint.waiting, 1);
+  EXPECT_EQ(hint.slots, 16);
+  for (const char* text : {"", "1", "1,2", "1,2,3,4", "1,,2", "1,2,3x", "-1,0,8", "a,b,c", "1 2 3", ",1,2,3",
+                           "2147483647,2147483647,1", "99999999999,0,8"}) {
+    EXPECT_FALSE(ParseLoad(text, hint)) << text;
+  }
+  EXPECT_EQ(hint.running, 4);
+  EXPECT_EQ(hint.slots, 16);
+}
+
 TEST(PrefillResponse, AHandleCannotBeginAFieldOrAnotherPath) {
   EXPECT_EQ(ParsePrefillResponse(R"({"kv_handle":"3fa09c41b7d5","tokens":1460,"version":1})"),
             "3fa09c41b7d5");
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -129,6 +129,14 @@
   }
 }
 
+TEST(BackendGarbage, ALoadThatIsNoneIsNotTakenOver) {
+  Fleet fleet(Fleet::Plain(1));
+  ASSERT_TRUE(fleet.Begin());
+  fleet.backend("a0").Expect({Fault::kBadLoad});
+  for (const char* id : {"r1", "r2"}) EXPECT_EQ(fleet.Send(0, "/app/x", id).status, 200);
+  EXPECT_NE(Metrics(fleet).find("kestrelline_backend_faults_total{kind=\"load\"} 1\n"), std::string::npos);
+}
+
 TEST(BackendGarbage, TheFaultCountsAgainstItsBackend) {
   Fleet fleet(ManyRetries());
   ASSERT_TRUE(fleet.Begin(true));
