A backend whose address seems reused is asked again after 10 s

Change: the mark ends after 10 s. The next request names the expected instance as before, so another instance still answers 421 and runs nothing. Test: BackendTable.AReusedAddressIsAskedAgainLater.

--- a/src/data_plane/attempt.cpp
+++ b/src/data_plane/attempt.cpp
@@ -77,7 +77,7 @@
   const unsigned status = head().result_int();
   if (status == kStatusMisdirected) {
     const std::string_view instance = head()["Instance-Id"];
-    if (!instance.empty() && instance != backend_->info.id) backend_->address_reused = true;
+    if (!instance.empty() && instance != backend_->info.id) backend_->RecordReusedAddress(DecisionTime());
     RecordRejection(status);
     return AttemptResult::kNotExecuted;
   }
--- a/src/data_plane/backend_table.cpp
+++ b/src/data_plane/backend_table.cpp
@@ -53,6 +53,7 @@
   for (auto& [key, group] : groups_) {
     if (interval_over) OutlierDetector::EndInterval(group.health);
     for (const BackendPtr& backend : group.backends) {
+      if (backend->address_reused && now >= backend->ask_again_at) backend->address_reused = false;
       if (!backend->health.ejected || now < backend->health.return_at) continue;
       OutlierDetector::Return(backend->health, group.health, OutlierDetector::OnReturn::kKeepMultiplier);
       --group.health.ejected;
--- a/tests/data_plane/backend_responses_test.cpp
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -94,6 +94,22 @@
   }
 }
 
+TEST(BackendTable, AReusedAddressIsAskedAgainLater) {
+  BackendTable table(1);
+  wire::InstanceList list;
+  list.instances.resize(1);
+  list.instances[0].id = "i1";
+  list.instances[0].service = "app";
+  table.Update(list);
+  const BackendPtr backend = table.Find("app", Stage::kAny)->backends.front();
+  const TimePoint start(Duration(1000));
+  backend->RecordReusedAddress(start);
+  table.Tick(start + Duration(9000));
+  EXPECT_FALSE(backend->InService());
+  table.Tick(start + Duration(10000));
+  EXPECT_TRUE(backend->InService());
+}
+
 TEST(BackendFaults, AreCountedByKindAndByBackend) {
   backend_faults::BackendFaults faults;
   faults.Report({backend_faults::Kind::kEvent, "i-1", "r1", "reason=missing_id"});
