Stage reports and responses to stage orders are checked

Each is logged and counted as a fault of the backend, in the metrics of the member. Test: StageReport.OnlyAWholeReportIsTaken.

--- a/src/control_plane/control_node.cpp
+++ b/src/control_plane/control_node.cpp
@@ -308,13 +308,18 @@
   const std::string instance = order.instance;
   const std::uint64_t epoch = replica_.epoch();
   StageOrderIssuer issuer{settings_.node_name, epoch,
-                          [this, epoch] { return Leads() && replica_.epoch() == epoch; }};
+                          [this, epoch] { return Leads() && replica_.epoch() == epoch; },
+                          [this, instance](const char* reason) { ReportStageFault(instance, reason); }};
   const StageOrderResult result = co_await SendStageOrder(io_, std::move(order), std::move(issuer));
   if (result != StageOrderResult::kRejected) co_return;
   spdlog::warn("order refused instance={}", instance);
   planner_.OnOrderRejected(instance);
 }
 
+void ControlNode::ReportStageFault(const std::string& instance, const char* reason) {
+  backend_faults_.Report({backend_faults::Kind::kReport, instance, "", std::string("reason=") + reason});
+}
+
 // Executes the effects emitted by the replica.
 void ControlNode::ApplyEffects() {
   for (Effect& effect : replica_.TakeEffects()) {
--- a/src/control_plane/control_node.h
+++ b/src/control_plane/control_node.h
@@ -14,6 +14,7 @@
 #include <system_error>
 #include <vector>
 
+#include "backend_faults/backend_faults.h"
 #include "control_plane/load_sharing.h"
 #include "control_plane/operator_api.h"
 #include "control_plane/replica.h"
@@ -47,7 +48,7 @@
   wire::RecordPtr Committed() const override { return replica_.committed(); }
   std::string Status() const override;
   std::string Members() const override;
-  std::string Metrics() const override { return traffic_->MetricsText(); }
+  std::string Metrics() const override { return traffic_->MetricsText() + backend_faults_.MetricsText(); }
   void Propose(Change change, std::function<void(Outcome)> decided) override;
   void RequestLeave() override;
 
@@ -84,6 +85,7 @@
   http::Awaitable<void> ReadListWhileLeading();
   void PlanStageMoves();
   http::Awaitable<void> ExecuteStageOrder(StageOrder order);
+  void ReportStageFault(const std::string& instance, const char* reason);
   void OnListRead(std::vector<wire::Instance> instances);
   void PublishList();
 
@@ -105,6 +107,7 @@
   LoadSharing loads_;
   bool loads_reset_sent_ = false;  // the empty report at the start of this process was sent
   StagePlanner planner_;
+  backend_faults::BackendFaults backend_faults_;
   std::optional<Time> leading_since_;
   Time next_plan_at_{0};
   std::vector<wire::Instance> platform_instances_;  // as last read, without marks for moves
--- a/src/control_plane/stage_orders.h
+++ b/src/control_plane/stage_orders.h
@@ -24,7 +24,8 @@
 struct StageOrderIssuer {
   std::string holder;
   std::uint64_t fence = 0;
-  std::function<bool()> may_send;  // checked right before the order is sent
+  std::function<bool()> may_send;                    // checked right before the order is sent
+  std::function<void(const char* reason)> on_fault;  // the backend sent what is no valid report or response
 };
 
 // The part of a backend's report (GET /-/report) that orders depend on.
@@ -33,7 +34,7 @@
   bool busy = false;           // an order is being executed
   bool prefill = false;
 };
-// Empty if `body` is not a valid report.
+// Empty if `body` is not a valid report: `sequence` a number, `busy` a boolean, `stage` one of the two.
 std::optional<StageReport> ParseStageReport(const std::string& body);
 
 // Fetches the backend's report first, so that the order names the sequence number it is based on, and fetches
--- a/tests/data_plane/backend_responses_test.cpp
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "backend_faults/backend_faults.h"
+#include "control_plane/stage_orders.h"
 #include "data_plane/backend_table.h"
 #include "data_plane/prefill_response.h"
 #include "data_plane/response_head.h"
@@ -94,6 +95,21 @@
   }
 }
 
+TEST(StageReport, OnlyAWholeReportIsTaken) {
+  using control_plane::ParseStageReport;
+  const auto report = ParseStageReport(R"({"stage":"prefill","busy":true,"sequence":2,"waiting":1})");
+  ASSERT_TRUE(report);
+  EXPECT_TRUE(report->prefill);
+  EXPECT_TRUE(report->busy);
+  EXPECT_EQ(report->sequence, 2u);
+  for (const char* body :
+       {"", "garbage", "{}", R"({"stage":"garbage","busy":false,"sequence":2})",
+        R"({"stage":"decode","busy":false,"sequence":-2})", R"({"stage":"decode","sequence":2})",
+        R"({"stage":"decode","busy":"no","sequence":2})"}) {
+    EXPECT_FALSE(ParseStageReport(body)) << body;
+  }
+}
+
 TEST(BackendTable, AReusedAddressIsAskedAgainLater) {
   BackendTable table(1);
   wire::InstanceList list;
