kestrelsoak: backends that send garbage, and the rule ORDER by its name

Change: unless planned work is alone, backends spoil answers all through a run, by a generator of their own, so that the rest of a seed's plan stays: garbage in streams (213 kinds), heads that are no head or contradict themselves, loads, handles with a line end.

--- a/src/fleet_soak/fleet.cpp
+++ b/src/fleet_soak/fleet.cpp
@@ -26,6 +26,7 @@
 constexpr Time kStartAfterFailure{500};
 constexpr int kSlots = 16;
 
+// Whether the backend's answer is no whole one, so that none can be expected of the proxy either.
 bool BrokeOff(Fault fault) {
   return fault == Fault::kCloseUnanswered || fault == Fault::kBreakStream || fault == Fault::kUnframedReset ||
          fault == Fault::kGarbage;
--- a/src/fleet_soak/ledger.cpp
+++ b/src/fleet_soak/ledger.cpp
@@ -7,7 +7,8 @@
 namespace kestrelline::fleet_soak {
 namespace {
 
-constexpr int kGraceParts = 6;  // a backend at work in the last of them may be left there
+constexpr int kGraceParts = 6;           // a backend at work in the last of them may be left there
+constexpr std::size_t kShownBytes = 60;  // of a body
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooMany = 429;
@@ -121,8 +122,9 @@
     if (request.answered_id != request.id)
       Break("MIXED", request, "the answer of '" + request.answered_id + "'");
     if (request.body != ExpectedBody(request.kind, request.id, request.events)) {
-      Break("MIXED", request,
-            "another body, " + std::to_string(request.body.size()) + " bytes: " + request.body.substr(0, 60));
+      Break(Streams(request.kind) ? "ORDER" : "MIXED", request,
+            "another body, " + std::to_string(request.body.size()) +
+                " bytes: " + request.body.substr(0, kShownBytes));
     }
   }
 
@@ -137,7 +139,7 @@
     Tally& tally = judgement_.tally;
     const bool partial = request.ending == Ending::kCut && request.status / 100 == 2;
     if (partial && !ExpectedBody(request.kind, request.id, request.events).starts_with(request.body)) {
-      Break("MIXED", request, "events of a broken stream are missing or repeated");
+      Break("ORDER", request, "a broken stream has other events: " + request.body.substr(0, kShownBytes));
     }
     if (request.ending == Ending::kNotSent) return void(++tally.not_sent);
     if (request.ending == Ending::kGivenUp) return void(++tally.given_up);
--- a/src/fleet_soak/plan.cpp
+++ b/src/fleet_soak/plan.cpp
@@ -14,12 +14,13 @@
 constexpr int kLargeOneIn = 6;         // runs with many processes
 constexpr int kPlannedAloneOneIn = 3;  // runs of planned work alone
 constexpr int kKillAllOneIn = 25;      // of the unplanned series
+constexpr std::uint64_t kGarbageSeed = 0x9E3779B97F4A7C15;
 
-constexpr std::array<const char*, 18> kNames = {
-    "term-proxy",    "hangup-proxy",    "term-core",    "change",       "race",
-    "invalid",       "repeat",          "kill-proxy",   "pause-proxy",  "cut-clients",
-    "kill-core",     "pause-core",      "cut-operator", "lose-answers", "backend-breaks",
-    "backend-hangs", "backend-refuses", "kill-all"};
+constexpr std::array<const char*, 19> kNames = {
+    "term-proxy",    "hangup-proxy",    "term-core",       "change",       "race",
+    "invalid",       "repeat",          "kill-proxy",      "pause-proxy",  "cut-clients",
+    "kill-core",     "pause-core",      "cut-operator",    "lose-answers", "backend-breaks",
+    "backend-hangs", "backend-refuses", "backend-garbles", "kill-all"};
 
 // Draws one plan. Three lanes of series run beside each other: planned work on processes, changes of the
 // configuration, and what nobody plans; so two or three series overlap at any time.
@@ -37,6 +38,7 @@
     DrawLane([this](Time at) { return PlannedSeries(at); });
     DrawLane([this](Time at) { return ChangeSeries(at); });
     if (!plan_.planned_work_alone) DrawLane([this](Time at) { return UnplannedSeries(at); });
+    if (!plan_.planned_work_alone) DrawGarbage();
     std::erase_if(plan_.actions, [this](const Action& action) { return action.at >= plan_.length; });
     std::stable_sort(plan_.actions.begin(), plan_.actions.end(),
                      [](const Action& one, const Action& other) { return one.at < other.at; });
@@ -80,6 +82,18 @@
     return static_cast<int>(random() % (kMost + 1));
   }
 
+  // Spoiled answers all through the run, by a generator of their own, as gateways.
+  void DrawGarbage() {
+    constexpr int kMostVariants = 1'000'000;
+    Drawer garbage(kGarbageSeed ^ plan_.seed, {});
+    for (Time at = kQuietStart; at < plan_.length; at += garbage.Within(50, 800)) {
+      const int target = garbage.Between(0, plan_.sizes.backends() - 1);
+      const int count = garbage.Between(1, 3);
+      plan_.actions.push_back(
+          {at, Trouble::kBackendGarbles, target, {}, count, garbage.Between(0, kMostVariants)});
+    }
+  }
+
   // Series after series, each of which returns when it is over.
   template <typename Series>
   void DrawLane(const Series& series) {
@@ -191,9 +205,9 @@
                      std::to_string(plan.actions.size()) + " actions\n";
   for (const Action& action : plan.actions) {
     std::array<char, 96> line{};
-    std::snprintf(line.data(), line.size(), "%9.3f s %-15s %d, %lld ms, count %d\n",
+    std::snprintf(line.data(), line.size(), "%9.3f s %-15s %d, %lld ms, count %d, variant %d\n",
                   static_cast<double>(action.at.count()) / 1000, NameOf(action.trouble), action.target,
-                  static_cast<long long>(action.length.count()), action.count);
+                  static_cast<long long>(action.length.count()), action.count, action.variant);
     text += line.data();
   }
   return text;
--- a/src/fleet_soak/plan.h
+++ b/src/fleet_soak/plan.h
@@ -35,7 +35,8 @@
   kBackendBreaks,  // the next `count` requests at a backend: closed unanswered, or in the middle of a stream
   kBackendHangs,
   kBackendRefuses,
-  kKillAll,  // every process at once; started again after `length`
+  kBackendGarbles,  // garbage in the next `count` answers of a backend, drawn by `variant`
+  kKillAll,         // every process at once; started again after `length`
 };
 
 const char* NameOf(Trouble trouble);
@@ -46,6 +47,7 @@
   int target = 0;  // index of the proxy, member or backend
   Time length{};
   int count = 1;
+  int variant = 0;
   bool operator==(const Action&) const = default;
 };
 
--- a/src/fleet_soak/runner.cpp
+++ b/src/fleet_soak/runner.cpp
@@ -148,6 +148,8 @@
       case Trouble::kBackendHangs:
       case Trouble::kBackendRefuses:
         co_return Disturb(action);
+      case Trouble::kBackendGarbles:
+        co_return Spoil(action);
       case Trouble::kChange:
       case Trouble::kRace:
       case Trouble::kInvalid:
@@ -165,6 +167,24 @@
     backend.Expect(std::vector<Fault>(static_cast<std::size_t>(action.count), fault));
   }
 
+  // In the stream of a backend that generates; other answers are spoiled as a whole.
+  void Spoil(const Action& action) {
+    static const std::vector<fleet_standin::Garbage> kGarbage = fleet_standin::AllGarbage();
+    static const std::vector<Fault> kSpoiledAnswers = {Fault::kNoAnswer, Fault::kContradiction,
+                                                       Fault::kTwoIds, Fault::kEncoded, Fault::kBadLoad};
+    fleet_standin::Backend& backend = *fleet_.backends.at(static_cast<std::size_t>(action.target));
+    const wire::Instance instance = backend.instance();
+    for (int i = 0; i < action.count; ++i) {
+      const auto variant = static_cast<std::size_t>(action.variant + i);
+      if (instance.decode) {
+        backend.ExpectGarbage(kGarbage[variant % kGarbage.size()]);
+      } else {
+        const Fault spoiled = kSpoiledAnswers[variant % kSpoiledAnswers.size()];
+        backend.Expect({instance.prefill ? Fault::kBadHandle : spoiled});
+      }
+    }
+  }
+
   // No more members at once than may be lost, counted with those that are not back yet.
   Awaitable<void> TakeCoreDown(const Action& action, Node& core) {
     const auto has_turn = [this, &core] {
@@ -316,9 +336,10 @@
   std::string read_back_;
 };
 
-// Bodies have several lines, a violation has one.
+// Bodies have several lines, and may hold bytes that are no text; a violation is one line of text.
 std::string OnOneLine(std::string text) {
-  std::replace(text.begin(), text.end(), '\n', ' ');
+  const auto is_shown = [](char c) { return c >= ' ' && c <= '~'; };
+  std::replace_if(text.begin(), text.end(), std::not_fn(is_shown), ' ');
   return text;
 }
 
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -194,17 +194,22 @@
   EXPECT_EQ(day.Rules(), "MIXED MIXED MIXED");
 }
 
-TEST(SoakLedger, MixedIfAStreamThatLooksWholeIsNotOrEventsAreMissing) {
+TEST(SoakLedger, OrderIfAStreamThatLooksWholeIsNotOrEventsAreMissing) {
   Day day;
   Request& shorter = day.Answered(Kind::kStream);
   shorter.body = ExpectedBody(Kind::kStream, shorter.id, 2);
   day.Ran(shorter);
-  EXPECT_EQ(day.Rules(), "MIXED");
+  EXPECT_EQ(day.Rules(), "ORDER");
   Request& gap = day.Add(Kind::kStream, Time(1000), Time(1100), Ending::kCut);
   gap.status = 200;
   gap.body = "id: 2\n";
   day.Ran(gap).broke_off = true;
-  EXPECT_EQ(day.Rules(), "MIXED MIXED");
+  EXPECT_EQ(day.Rules(), "ORDER ORDER");
+  Request& made_up = day.Add(Kind::kResumable, Time(2000), Time(2100), Ending::kCut);
+  made_up.status = 200;
+  made_up.body = ExpectedBody(Kind::kResumable, made_up.id, 2) + "data: made up\n\n";
+  day.Ran(made_up).broke_off = true;
+  EXPECT_EQ(day.Rules(), "ORDER ORDER ORDER");
 }
 
 TEST(SoakLedger, ExitOfAProcessByItselfOrWithAStatusOrTooLate) {
