Soak and stand-ins: max and min, timeouts and intervals by the field's names

Constants kMost..., kFewest..., ...Patience and ...Within became kMax..., kMin..., ...Timeout; parameters least and most became min and max. Names alone: no value, no check changed.

--- a/src/fleet_soak/fleet.cpp
+++ b/src/fleet_soak/fleet.cpp
@@ -18,10 +18,10 @@
 
 namespace {
 
-constexpr Time kLookForEnds{10};
+constexpr Time kExitPollInterval{10};
 constexpr Time kBetweenProbes{500};
 constexpr std::size_t kProbesOfLag = 4;  // two seconds
-constexpr Time kProbePatience{400};
+constexpr Time kProbeTimeout{400};
 constexpr Time kEndSlack{250};  // of the end of grace, as a supervisor that looks now and then
 constexpr Time kStartAfterFailure{500};
 constexpr int kSlots = 16;
@@ -39,9 +39,9 @@
 }  // namespace
 
 Awaitable<std::optional<Response>> AskOnce(asio::io_context& io, node::Endpoint there, http::Request request,
-                                           Time patience) {
+                                           Time timeout) {
   request.set(bhttp::field::host, "h.example");
-  co_return co_await Exchange(io, there, std::move(request), steady_clock::now() + patience);
+  co_return co_await Exchange(io, there, std::move(request), steady_clock::now() + timeout);
 }
 
 Fleet::Fleet(asio::io_context& io, const Site& site, const Sizes& sizes, Ledger& ledger, std::string program,
@@ -150,7 +150,7 @@
 // Notes ends; starts again what ended although nobody asked it to.
 Awaitable<void> Fleet::Watch(Node& node) {
   while (true) {
-    co_await Sleep(kLookForEnds);
+    co_await Sleep(kExitPollInterval);
     if (!node.running) continue;
     const auto status = node.process->Ended();
     if (!status) continue;
@@ -168,7 +168,7 @@
     const bool is_proxy = node.role == Role::kProxy;
     const node::Endpoint there = is_proxy ? site_.Ready(node.index) : PlaceOf(node.role, node.index).endpoint;
     const char* const target = is_proxy ? "/-/readyz" : "/-/status";
-    const auto answer = co_await AskOnce(io_, there, {bhttp::verb::get, target, 11}, kProbePatience);
+    const auto answer = co_await AskOnce(io_, there, {bhttp::verb::get, target, 11}, kProbeTimeout);
     node.ready = SaysReady(node.role, answer) && node.running && node.life == life;
     node.was_ready = node.was_ready || node.ready;
     node.history.push_back(node.ready);
@@ -192,12 +192,12 @@
   LifeOf(node).term = Now();
   node.process->Signal(SIGTERM);
   const Time until = Now() + ledger_.rules().grace + kEndSlack;
-  while (node.running && Now() < until) co_await Sleep(kLookForEnds);
+  while (node.running && Now() < until) co_await Sleep(kExitPollInterval);
   if (node.running) {
     LifeOf(node).overstayed = true;
     node.process->Signal(SIGKILL);
   }
-  while (node.running) co_await Sleep(kLookForEnds);
+  while (node.running) co_await Sleep(kExitPollInterval);
   if (start_after) {
     co_await Sleep(*start_after);
     Start(node);
@@ -211,7 +211,7 @@
   node.process->Signal(SIGKILL);
   if (node.owned) co_return;  // whoever waits for its end starts it again
   node.owned = true;
-  while (node.running) co_await Sleep(kLookForEnds);
+  while (node.running) co_await Sleep(kExitPollInterval);
   co_await Sleep(start_after);
   Start(node);
   node.owned = false;
@@ -237,7 +237,7 @@
   node.relay->BeginCut();
   co_await Sleep(length);
   node.relay->EndCut();
-  co_await Sleep(kLookForEnds);  // the resets arrive
+  co_await Sleep(kExitPollInterval);  // the resets arrive
   ledger_.relay_troubles[node.relay_number].back().to = Now();
 }
 
--- a/src/fleet_soak/fleet.h
+++ b/src/fleet_soak/fleet.h
@@ -26,7 +26,7 @@
 
 // http::Exchange with the host of the site.
 http::Awaitable<std::optional<Response>> AskOnce(http::asio::io_context& io, node::Endpoint there,
-                                                 http::Request request, Time patience);
+                                                 http::Request request, Time timeout);
 
 enum class Role { kProxy, kMember, kGateway };
 
--- a/src/fleet_soak/operators.cpp
+++ b/src/fleet_soak/operators.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Time kPatience{1000};  // with one member, then another one is asked
+constexpr Time kMemberTimeout{1000};  // with one member, then another one is asked
 constexpr Time kBetweenTries{50};
 constexpr Time kDecidedWithin{20000};
 constexpr Time kLookForOrders{10};
@@ -134,7 +134,7 @@
   const int members = static_cast<int>(fleet_.cores.size());
   int member = static_cast<int>(random_() % fleet_.cores.size());
   while (fleet_.Now() < until) {
-    auto answer = co_await AskOnce(fleet_.io(), site_.ControlRelay(member), request, kPatience);
+    auto answer = co_await AskOnce(fleet_.io(), site_.ControlRelay(member), request, kMemberTimeout);
     if (answer && answer->result() == bhttp::status::temporary_redirect) {
       const std::string host = HostOf(std::string_view((*answer)[bhttp::field::location]));
       for (int i = 0; i < members; ++i) {
--- a/src/fleet_soak/plan.cpp
+++ b/src/fleet_soak/plan.cpp
@@ -46,10 +46,10 @@
   }
 
  private:
-  int Between(int least, int most) {
-    return least + static_cast<int>(random_() % static_cast<std::uint64_t>(most - least + 1));
+  int Between(int min, int max) {
+    return min + static_cast<int>(random_() % static_cast<std::uint64_t>(max - min + 1));
   }
-  Time Within(int least_ms, int most_ms) { return Time(Between(least_ms, most_ms)); }
+  Time Within(int min_ms, int max_ms) { return Time(Between(min_ms, max_ms)); }
   bool OneIn(int count) { return Between(1, count) == 1; }
   int Proxy() { return Between(0, plan_.sizes.edges - 1); }
   int Core() { return Between(0, plan_.sizes.cores - 1); }
@@ -77,20 +77,20 @@
 
   // By a generator of its own: the rest of a seed's plan does not depend on it.
   int DrawGateways() const {
-    constexpr std::uint64_t kMost = 3;
+    constexpr std::uint64_t kMaxGateways = 3;
     std::mt19937_64 random(~plan_.seed);
-    return static_cast<int>(random() % (kMost + 1));
+    return static_cast<int>(random() % (kMaxGateways + 1));
   }
 
   // Spoiled answers all through the run, by a generator of their own, as gateways.
   void DrawGarbage() {
-    constexpr int kMostVariants = 1'000'000;
+    constexpr int kMaxVariant = 1'000'000;
     Drawer garbage(kGarbageSeed ^ plan_.seed, {});
     for (Time at = kQuietStart; at < plan_.length; at += garbage.Within(50, 800)) {
       const int target = garbage.Between(0, plan_.sizes.backends() - 1);
       const int count = garbage.Between(1, 3);
       plan_.actions.push_back(
-          {at, Trouble::kBackendGarbles, target, {}, count, garbage.Between(0, kMostVariants)});
+          {at, Trouble::kBackendGarbles, target, {}, count, garbage.Between(0, kMaxVariant)});
     }
   }
 
--- a/src/fleet_soak/runner.cpp
+++ b/src/fleet_soak/runner.cpp
@@ -24,15 +24,15 @@
 
 namespace {
 
-constexpr Time kLook{20};
-constexpr Time kBeginWithin{20000};
-constexpr Time kRecoverWithin{10000};
-constexpr Time kCoreTurnWithin{8000};  // a trouble of a member that finds no turn by then is left out
-constexpr Time kClientsEndWithin{15000};
-constexpr Time kStallFrom{50};
+constexpr Time kPollInterval{20};
+constexpr Time kStartTimeout{20000};
+constexpr Time kRecoveryTimeout{10000};
+constexpr Time kCoreTurnTimeout{8000};  // a trouble of a member that finds no turn by then is left out
+constexpr Time kClientsEndTimeout{15000};
+constexpr Time kMinStall{50};
 constexpr int kClientsPerProxy = 8;
-constexpr int kFewestClients = 48;
-constexpr int kMostClients = 240;
+constexpr int kMinClients = 48;
+constexpr int kMaxClients = 240;
 constexpr Kind kKinds[] = {Kind::kUnsafe, Kind::kSafe, Kind::kStream, Kind::kResumable};
 
 class Runner {
@@ -74,7 +74,7 @@
   Awaitable<bool> Eventually(std::function<bool()> holds, Time within) {
     for (const Time until = fleet_.Now() + within; fleet_.Now() < until;) {
       if (holds()) co_return true;
-      co_await fleet_.Sleep(kLook);
+      co_await fleet_.Sleep(kPollInterval);
     }
     co_return holds();
   }
@@ -85,15 +85,16 @@
 
   Awaitable<void> Main() {
     operators_.Queue(Trouble::kChange);
-    if (!co_await Eventually([this] { return operators_.newest() > 0 && fleet_.AllReady(); }, kBeginWithin)) {
+    if (!co_await Eventually([this] { return operators_.newest() > 0 && fleet_.AllReady(); },
+                             kStartTimeout)) {
       co_return Break("RECOVER", "", "the fleet is not ready after its start");
     }
     for (const auto& gateway : fleet_.gateways) traffic_.StartCaller(*gateway);
-    traffic_.Start(std::clamp(plan_.sizes.edges * kClientsPerProxy, kFewestClients, kMostClients));
+    traffic_.Start(std::clamp(plan_.sizes.edges * kClientsPerProxy, kMinClients, kMaxClients));
     co_await PlayPlan();
     co_await Recover();
     traffic_.Stop();
-    co_await Eventually([this] { return traffic_.running() == 0; }, kClientsEndWithin);
+    co_await Eventually([this] { return traffic_.running() == 0; }, kClientsEndTimeout);
     co_await ReadBack();
     co_await EndAll();
   }
@@ -191,13 +192,13 @@
       return core.ready && !core.owned && cores_taken_ < plan_.sizes.tolerance() &&
              fleet_.CoresNotReady() < plan_.sizes.tolerance();
     };
-    if (!co_await Eventually(has_turn, kCoreTurnWithin)) co_return;
+    if (!co_await Eventually(has_turn, kCoreTurnTimeout)) co_return;
     ++cores_taken_;
     if (action.trouble == Trouble::kTermCore) co_await fleet_.Terminate(core, action.length);
     if (action.trouble == Trouble::kKillCore) co_await fleet_.Kill(core, action.length);
     if (action.trouble == Trouble::kPauseCore) co_await fleet_.Pause(core, action.length);
     core.ready = false;  // until it says so again
-    co_await Eventually([&core] { return core.ready; }, kRecoverWithin);
+    co_await Eventually([&core] { return core.ready; }, kRecoveryTimeout);
     --cores_taken_;
   }
 
@@ -217,8 +218,8 @@
   }
 
   Awaitable<void> Recover() {
-    const Time until = fleet_.Now() + kRecoverWithin;
-    if (!co_await Eventually([this] { return fleet_.AllReady(); }, kRecoverWithin)) {
+    const Time until = fleet_.Now() + kRecoveryTimeout;
+    if (!co_await Eventually([this] { return fleet_.AllReady(); }, kRecoveryTimeout)) {
       for (auto* nodes : fleet_.AllNodes()) {
         for (const auto& node : *nodes) {
           if (!node->ready) Break("RECOVER", node->name, "not ready 10 s after the last trouble");
@@ -238,7 +239,7 @@
       Request last;
       do {
         last = co_await traffic_.AskOnce(edge, kind);
-        if (last.status != 200) co_await fleet_.Sleep(kLook);
+        if (last.status != 200) co_await fleet_.Sleep(kPollInterval);
       } while (last.status != 200 && fleet_.Now() < until);
       if (last.status == 200) continue;
       Break("RECOVER", edge.name,
@@ -256,7 +257,7 @@
     for (const auto& edge : fleet_.edges) co_await LookUpVersion(*edge);
   }
   Awaitable<void> LookUpVersion(const Node& edge) {
-    const Time until = fleet_.Now() + kRecoverWithin;
+    const Time until = fleet_.Now() + kRecoveryTimeout;
     int status = 0;
     while (status != 200 && fleet_.Now() < until) {
       const std::string target = Site::PathOfVersion(read_back_version_) + "x";
@@ -287,9 +288,9 @@
   Awaitable<void> WatchOneself() {
     while (true) {
       const Time before = fleet_.Now();
-      co_await fleet_.Sleep(kLook);
-      const Time late = fleet_.Now() - before - kLook;
-      if (late > kStallFrom) ledger_.harness_stalls.push_back({before + kLook, fleet_.Now()});
+      co_await fleet_.Sleep(kPollInterval);
+      const Time late = fleet_.Now() - before - kPollInterval;
+      if (late > kMinStall) ledger_.harness_stalls.push_back({before + kPollInterval, fleet_.Now()});
     }
   }
 
--- a/src/fleet_soak/traffic.cpp
+++ b/src/fleet_soak/traffic.cpp
@@ -13,19 +13,19 @@
 
 namespace {
 
-constexpr Time kConnectPatience{1000};
+constexpr Time kConnectTimeout{1000};
 constexpr Time kAfterRefusedConnection{50};
-constexpr Time kAfterDeadline{3000};  // then the client gives up on an answer
+constexpr Time kClientGraceAfterDeadline{3000};  // then the client gives up on an answer
 constexpr Time kBetweenCalls{30};
 constexpr Time kCallDeadline{2000};
 constexpr int kAnyRunningPercent = 15;
 constexpr int kPercent = 100;
-constexpr int kMuchLongWork = 80;
-constexpr int kLittleLongWork = 10;
-constexpr std::size_t kLongestAnswer = 1024 * 1024;
+constexpr int kHighLongWorkPercent = 80;
+constexpr int kLowLongWorkPercent = 10;
+constexpr std::size_t kMaxResponseBytes = 1024 * 1024;
 
-int Between(std::mt19937_64& random, int least, int most) {
-  return least + static_cast<int>(random() % static_cast<std::uint64_t>(most - least + 1));
+int Between(std::mt19937_64& random, int min, int max) {
+  return min + static_cast<int>(random() % static_cast<std::uint64_t>(max - min + 1));
 }
 
 bool Streams(Kind kind) { return kind == Kind::kStream || kind == Kind::kResumable; }
@@ -47,7 +47,7 @@
   habits.keeps_connection = Between(random, 1, 10) <= 7;
   habits.sends_at_once = Between(random, 1, 2) == 1;
   habits.through_relay = Between(random, 1, 4) == 1;
-  habits.long_work_percent = Between(random, 1, 2) == 1 ? kMuchLongWork : kLittleLongWork;
+  habits.long_work_percent = Between(random, 1, 2) == 1 ? kHighLongWorkPercent : kLowLongWorkPercent;
   while (!stopping_) {
     const Node* const edge = Choose(random);
     if (edge == nullptr) {
@@ -70,7 +70,7 @@
   while (!stopping_) {
     co_await fleet_.Sleep(kBetweenCalls);
     Connection connection(fleet_.io());
-    const auto until = steady_clock::now() + kConnectPatience;
+    const auto until = steady_clock::now() + kConnectTimeout;
     if (!gateway.running || co_await Connect(connection.stream, site_.Gateway(gateway.index), until))
       continue;
     Request request;
@@ -97,7 +97,7 @@
 
 Awaitable<bool> Traffic::Open(Connection& connection, const Node& edge, bool through_relay) {
   const node::Endpoint there = through_relay ? site_.FrontRelay(edge.index) : site_.Front(edge.index);
-  co_return !co_await Connect(connection.stream, there, steady_clock::now() + kConnectPatience);
+  co_return !co_await Connect(connection.stream, there, steady_clock::now() + kConnectTimeout);
 }
 
 Awaitable<void> Traffic::UseConnection(const Node& edge, Habits habits, Random& random) {
@@ -168,14 +168,14 @@
 }
 
 Awaitable<bool> Traffic::Exchange(Connection& connection, Request& request, std::string text) {
-  connection.stream.expires_after(kConnectPatience);
+  connection.stream.expires_after(kConnectTimeout);
   const auto [write_error, written] =
       co_await asio::async_write(connection.stream, asio::buffer(text), kTuple);
   request.sent = request.ended = fleet_.Now();
   if (write_error) co_return false;
-  connection.stream.expires_after(request.deadline + kAfterDeadline);
+  connection.stream.expires_after(request.deadline + kClientGraceAfterDeadline);
   bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(kLongestAnswer);
+  parser.body_limit(kMaxResponseBytes);
   const auto [error, read] = co_await bhttp::async_read(connection.stream, connection.buffer, parser, kTuple);
   request.ended = fleet_.Now();
   const Response& answer = parser.get();
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -14,8 +14,8 @@
 using namespace http;
 
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
-constexpr std::size_t kLongestBody = 8 * 1024 * 1024;
-constexpr milliseconds kBeforeReadingOn{30};
+constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+constexpr milliseconds kPauseBeforeBody{30};
 
 int NumberOf(const bhttp::request<bhttp::string_body>& request, const char* field, int otherwise) {
   const std::string text(request[field]);
@@ -168,7 +168,7 @@
   beast::flat_buffer buffer;
   while (true) {
     bhttp::request_parser<bhttp::string_body> parser;
-    parser.body_limit(kLongestBody);
+    parser.body_limit(kMaxBodyBytes);
     const auto [head_error, head_read] = co_await bhttp::async_read_header(stream, buffer, parser, kTuple);
     if (head_error) break;
     const bool early = TakeIfNext(Fault::kEarlyRefusal);
@@ -205,7 +205,7 @@
   const std::string id(head["Request-Id"]);
   const bool sent = co_await Write(
       stream, WithBody(Head("503 Service Unavailable", id, false) + "Not-Executed: 1\r\n", ""));
-  asio::steady_timer pause(io_, kBeforeReadingOn);
+  asio::steady_timer pause(io_, kPauseBeforeBody);
   co_await pause.async_wait(kTuple);
   co_return sent;
 }
@@ -219,7 +219,7 @@
   co_await Write(stream, std::move(text));
   error_code ignored;
   if (reset) {
-    asio::steady_timer pause(io_, kBeforeReadingOn);  // what was sent arrives first
+    asio::steady_timer pause(io_, kPauseBeforeBody);  // what was sent arrives first
     co_await pause.async_wait(kTuple);
     stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   }
--- a/tests/router_fleet/fleet_fixture.h
+++ b/tests/router_fleet/fleet_fixture.h
@@ -343,9 +343,9 @@
     for (int i = 0; i < options_.gateways; ++i) add(GatewayIp(i), kInternal, kLink);
   }
   std::vector<std::string> Seeds() const {
-    constexpr int kMostSeeds = 3;  // of a settings file
+    constexpr int kMaxSeeds = 3;  // of a settings file
     if (!seeds_.empty()) return seeds_;
-    const int count = std::min(kMostSeeds, seed_gateways_alone_ ? options_.gateways : options_.cores);
+    const int count = std::min(kMaxSeeds, seed_gateways_alone_ ? options_.gateways : options_.cores);
     std::vector<std::string> seeds;
     for (int i = 0; i < count; ++i) seeds.push_back(seed_gateways_alone_ ? GatewayIp(i) : CoreIp(i));
     return seeds;
--- a/tests/soak/short_run_test.cpp
+++ b/tests/soak/short_run_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Time kLength{25000};
-constexpr int kFewestAnswers = 500;
+constexpr int kMinAnswers = 500;
 
 void SoakAndExpectNoViolation(std::uint64_t seed, bool planned_work_alone) {
   const testing::TemporaryFolder folder;
@@ -29,7 +29,7 @@
   std::cout << Describe(options.plan);
   const RunResult result = RunSoak(options);
   Print(options, result, std::cout);
-  EXPECT_GT(result.judgement.tally.answered, kFewestAnswers);
+  EXPECT_GT(result.judgement.tally.answered, kMinAnswers);
   EXPECT_TRUE(result.judgement.violations.empty());
 }
 
