Heads from backends: versions, and promises without Not-Executed, are checked

Change: Versions is one whole number; Keep-Alive counts up to an hour; such a status is no valid response, so the request may have run: it goes elsewhere where it may, else 502.

--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -19,7 +19,8 @@
 constexpr int kMaxInterimResponses = 8;  // 1xx, before the final response
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr milliseconds kDefaultIdleTimeout{4000};  // if the backend announces no Keep-Alive timeout
-constexpr milliseconds kIdleTimeoutMargin{700};    // closed this long before the backend would close it
+constexpr std::chrono::seconds kMaxIdleTimeout{3600};
+constexpr milliseconds kIdleTimeoutMargin{700};  // closed this long before the backend would close it
 
 // Parses `timeout=N` of a Keep-Alive header; N is in seconds.
 std::optional<milliseconds> KeepAliveTimeout(std::string_view text) {
@@ -29,7 +30,7 @@
   int seconds = 0;
   const char* const begin = text.data() + position + kField.size();
   if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc()) return std::nullopt;
-  return std::chrono::seconds(seconds);
+  return std::clamp(std::chrono::seconds(seconds), std::chrono::seconds(0), kMaxIdleTimeout);
 }
 
 }  // namespace
--- a/src/data_plane/response_head.h
+++ b/src/data_plane/response_head.h
@@ -20,9 +20,10 @@
   kNone,
   kStatus,         // outside of 200 to 599
   kRequestId,      // more than one Request-Id
-  kContradiction,  // a success that says it has not run
+  kContradiction,  // a success that says it has not run, or a status that means it without saying so
   kStamp,          // a success for a client without exactly one Server-Stamp
   kEncoding,       // an encoded body, which no client asks for
+  kVersions,       // a Versions field that is no whole number, or more than one
   kContentType,    // a stream of another type than text/event-stream
 };
 // The name used in logs.
--- a/src/fleet_soak/runner.cpp
+++ b/src/fleet_soak/runner.cpp
@@ -171,8 +171,9 @@
   // In the stream of a backend that generates; other answers are spoiled as a whole.
   void Spoil(const Action& action) {
     static const std::vector<fleet_standin::Garbage> kGarbage = fleet_standin::AllGarbage();
-    static const std::vector<Fault> kSpoiledAnswers = {Fault::kNoAnswer, Fault::kContradiction,
-                                                       Fault::kTwoIds, Fault::kEncoded, Fault::kBadLoad};
+    static const std::vector<Fault> kSpoiledAnswers = {Fault::kNoAnswer,     Fault::kContradiction,
+                                                       Fault::kFalsePromise, Fault::kTwoIds,
+                                                       Fault::kEncoded,      Fault::kBadLoad};
     fleet_standin::Backend& backend = *fleet_.backends.at(static_cast<std::size_t>(action.target));
     const wire::Instance instance = backend.instance();
     for (int i = 0; i < action.count; ++i) {
--- a/src/fleet_standin/backend.cpp
+++ b/src/fleet_standin/backend.cpp
@@ -340,6 +340,8 @@
       return BytesOf(GarbageContent::kBinary) + "\r\n\r\n";
     case Fault::kContradiction:
       return WithBody(head + "Not-Executed: 1\r\n", event);
+    case Fault::kFalsePromise:
+      return WithBody(Head("503 Service Unavailable", id, true), "");
     case Fault::kTwoIds:
       return WithBody(head + "Request-Id: of-another\r\n", event);
     case Fault::kEncoded:
--- a/src/fleet_standin/backend.h
+++ b/src/fleet_standin/backend.h
@@ -41,6 +41,7 @@
   kGarbage,          // sends garbage in its stream, see ExpectGarbage()
   kNoAnswer,         // bytes that are no answer
   kContradiction,    // a success that says it has not run
+  kFalsePromise,     // runs it, then answers 503
   kTwoIds,           // a success with the id of another request beside its own
   kEncoded,          // a success with an encoded body
   kWrongType,        // a success that is no event stream
--- a/tests/data_plane/backend_responses_test.cpp
+++ b/tests/data_plane/backend_responses_test.cpp
@@ -47,6 +47,9 @@
   head = Sound();
   head.set("Not-Executed", "1");
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kContradiction);
+  for (const unsigned status : {408u, 429u, 503u}) {
+    EXPECT_EQ(CheckHead(Sound(status), ExpectedResponse::kEvents), HeadFault::kContradiction) << status;
+  }
   head = Sound();
   head.insert("Server-Stamp", "a1");
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kStamp);
@@ -55,6 +58,15 @@
   head = Sound();
   head.set("Content-Encoding", "gzip");
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kEncoding);
+  for (const char* versions : {"", "new", "1,2", "-1", "123456789012345678901"}) {
+    head = Sound();
+    head.set("Versions", versions);
+    EXPECT_EQ(CheckHead(head, ExpectedResponse::kWhole), HeadFault::kVersions) << versions;
+  }
+  head.set("Versions", "1");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kNone);
+  head.insert("Versions", "2");
+  EXPECT_EQ(CheckHead(head, ExpectedResponse::kPrefill), HeadFault::kVersions);
   head = Sound();
   head.set("Content-Type", "text/html");
   EXPECT_EQ(CheckHead(head, ExpectedResponse::kEvents), HeadFault::kContentType);
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -87,8 +87,8 @@
   Fleet fleet(ManyRetries());
   ASSERT_TRUE(fleet.Begin(true));
   int number = 0;
-  for (const Fault fault : {Fault::kNoAnswer, Fault::kContradiction, Fault::kTwoIds, Fault::kEncoded,
-                            Fault::kWrongType, Fault::kNoStamp}) {
+  for (const Fault fault : {Fault::kNoAnswer, Fault::kContradiction, Fault::kFalsePromise, Fault::kTwoIds,
+                            Fault::kEncoded, Fault::kWrongType, Fault::kNoStamp}) {
     SCOPED_TRACE(static_cast<int>(fault));
     const std::string id = "h" + std::to_string(number++);
     FaultTable::Instance().Add(id, {fault, {}});
@@ -105,7 +105,8 @@
   Fleet fleet(Fleet::Plain(1));
   ASSERT_TRUE(fleet.Begin());
   int number = 0;
-  for (const Fault fault : {Fault::kNoAnswer, Fault::kContradiction, Fault::kTwoIds, Fault::kEncoded}) {
+  for (const Fault fault :
+       {Fault::kNoAnswer, Fault::kContradiction, Fault::kFalsePromise, Fault::kTwoIds, Fault::kEncoded}) {
     const std::string id = "u" + std::to_string(number++);
     fleet.backend("a0").Expect({fault});
     const Answer answer = fleet.Send(0, "/app/x", id);
