A stream whose end is followed by bytes that are no response counts as incomplete

Change: if what has arrived after the end of a stream does not begin a response, the end is not trusted: a resumable stream goes on elsewhere after its last event (a sound backend ends it at once if it was whole), others end visibly incomplete. Test: early-end in StreamsWithGarbage.*, which now expect that bytes after the end leave a stream whole only if they begin a response: before, any of them did, and a stream that had ended early would have passed as whole.

--- a/src/data_plane/attempt.h
+++ b/src/data_plane/attempt.h
@@ -41,6 +41,8 @@
   Awaitable<error_code> ReadChunk(std::string& chunk, steady_clock::time_point deadline);
   // Reads the whole body; fails with message_size if it is longer than `limit` bytes.
   Awaitable<error_code> ReadBody(std::string& body, std::size_t limit, steady_clock::time_point deadline);
+  // After the end of the body: whether what follows it makes that end doubtful.
+  bool EndIsInDoubt() const { return connection_->EndIsInDoubt(); }
   // Call after the whole response was read and found valid: returns the connection to the pool if it can be
   // reused.
   void Finish();
--- a/src/data_plane/backend_connection.cpp
+++ b/src/data_plane/backend_connection.cpp
@@ -121,6 +121,15 @@
   idle_deadline_ = steady_clock::now() + (announced ? *announced - kIdleTimeoutMargin : kDefaultIdleTimeout);
 }
 
+bool BackendConnection::EndIsInDoubt() const {
+  constexpr std::string_view kResponseStart = "HTTP/";
+  if (!HasSurplusBytes()) return false;
+  const auto bytes = buffer_.cdata();
+  const std::string_view surplus(static_cast<const char*>(bytes.data()), bytes.size());
+  const std::size_t compared = std::min(surplus.size(), kResponseStart.size());
+  return surplus.substr(0, compared) != kResponseStart.substr(0, compared);
+}
+
 bool BackendConnection::Reusable() const {
   return reusable_ && complete() && idle_deadline_ > steady_clock::now();
 }
--- a/src/data_plane/backend_connection.h
+++ b/src/data_plane/backend_connection.h
@@ -48,6 +48,8 @@
   int skipped_responses() const { return skipped_responses_; }
   // Whether bytes follow the complete response.
   bool HasSurplusBytes() const { return complete() && buffer_.size() > 0; }
+  // Whether the bytes after the response are no other response, so that the end of this one is in doubt.
+  bool EndIsInDoubt() const;
   // Whether it can carry another request: no unread or surplus bytes, and the backend did not announce a
   // close.
   bool Reusable() const;
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -262,7 +262,9 @@
     if (!error) events = ended ? events_.Finish() : events_.Append(chunk);
     const bool valid = events_.fault() == StreamFault::kNone;
     if (!valid) RejectStream(attempt);
-    if (error || !valid) {
+    const bool doubtful = valid && ended && attempt.EndIsInDoubt();
+    if (doubtful) attempt.Reject(backend_faults::Kind::kSurplusBytes, "after_event=" + events_.last_id());
+    if (error || !valid || doubtful) {
       active_ = nullptr;
       co_return false;
     }
--- a/src/fleet_standin/garbage.cpp
+++ b/src/fleet_standin/garbage.cpp
@@ -12,9 +12,9 @@
 
 constexpr std::array<const char*, 5> kPlaces = {"first", "between", "within", "end", "after"};
 constexpr std::array<const char*, 4> kFramings = {"chunk", "own-chunk", "raw", "unframed"};
-constexpr std::array<const char*, 11> kContents = {
-    "nothing",    "line",   "block",         "binary",          "no-id",   "empty-id",
-    "invalid-id", "old-id", "unknown-field", "invalid-version", "response"};
+constexpr std::array<const char*, 12> kContents = {
+    "nothing",    "line",   "block",         "binary",          "no-id",    "empty-id",
+    "invalid-id", "old-id", "unknown-field", "invalid-version", "response", "early-end"};
 
 // Whether a backend would send the same bytes in a valid stream.
 bool LooksValid(const Garbage& garbage) {
@@ -31,6 +31,9 @@
 bool Exists(const Garbage& garbage) {
   const bool nothing = garbage.content == GarbageContent::kNothing;
   if (nothing && garbage.framing == GarbageFraming::kRaw) return false;
+  if (garbage.content == GarbageContent::kEarlyEnd) {
+    return garbage.place == GarbagePlace::kBetween && garbage.framing == GarbageFraming::kRaw;
+  }
   if (garbage.framing == GarbageFraming::kOwnChunk) return garbage.place == GarbagePlace::kWithin && !nothing;
   if (garbage.place == GarbagePlace::kAfter) {
     return !nothing && garbage.framing == GarbageFraming::kRaw && !garbage.goes_on;
@@ -104,6 +107,8 @@
       return "id: 900\ncontent: made up\n\n";
     case GarbageContent::kInvalidVersion:
       return "versions: new\nid: 900\ndata: made up\n\n";
+    case GarbageContent::kEarlyEnd:
+      return kLastChunk + Chunk(EventText(kEventsBeforeFault + 1, ""));
     case GarbageContent::kResponse:
       return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nmade up";
   }
--- a/src/fleet_standin/garbage.h
+++ b/src/fleet_standin/garbage.h
@@ -37,6 +37,7 @@
   kUnknownField,    // an event with a field of another protocol
   kInvalidVersion,  // an event whose version is no number
   kResponse,        // the text of an HTTP response
+  kEarlyEnd,        // the end of the body, and an event after it
 };
 
 struct Garbage {
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -15,6 +15,7 @@
 using fleet_standin::AllGarbage;
 using fleet_standin::FaultTable;
 using fleet_standin::Garbage;
+using fleet_standin::GarbageContent;
 using fleet_standin::GarbagePlace;
 
 constexpr int kEvents = 5;
@@ -68,7 +69,9 @@
 
 TEST(StreamsWithGarbage, AStreamThatMayNotBeResumedEndsVisiblyIncomplete) {
   SpoilOneStreamEach(false, [](const Garbage& garbage, const Answer& answer, int runs) {
-    EXPECT_EQ(answer.ended_well && answer.status == 200, garbage.place == GarbagePlace::kAfter);
+    // What follows a whole answer may be a second one. Other bytes put its end in doubt.
+    const bool whole = garbage.place == GarbagePlace::kAfter && garbage.content == GarbageContent::kResponse;
+    EXPECT_EQ(answer.ended_well && answer.status == 200, whole);
     EXPECT_EQ(runs, 1);
   });
 }
