Lint covers the checks of what backends send

Need: the new decisions (event_stream, prefill_response, backend_faults) were not on the linter's list; it found one multiplication in int that is widened. Change: the list, and the constant's type; its value is as before.

--- a/src/data_plane/event_stream.h
+++ b/src/data_plane/event_stream.h
@@ -53,7 +53,7 @@
 class EventStream {
  public:
   // A longer event is returned in pieces once its id is known to be valid.
-  static constexpr std::size_t kMaxHeldBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxHeldBytes = std::size_t{1024} * 1024;
 
   // Call before the stream of another backend continues this one. Drops what is held of an unfinished event.
   void BeginRun();
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -12,7 +12,8 @@
   src/control_plane/replica_learner.cpp src/control_plane/replica_membership.cpp
   src/control_plane/stage_planner.cpp src/distribution/configuration_history.cpp src/distribution/load_board.cpp src/distribution/publication.cpp
   src/control_sim/audit.cpp src/control_sim/schedule.cpp src/control_sim/world.cpp src/control_sim/world_traffic.cpp
-  src/data_plane/configuration_follower.cpp src/data_plane/engine_estimate.cpp src/data_plane/subscription.cpp
+  src/backend_faults/backend_faults.cpp src/data_plane/configuration_follower.cpp src/data_plane/engine_estimate.cpp src/data_plane/event_stream.cpp
+  src/data_plane/prefill_response.cpp src/data_plane/subscription.cpp
   src/data_plane/backend.cpp src/data_plane/backend_table.cpp src/data_plane/placement.cpp src/data_plane/prompt.cpp
   src/discovery/page.cpp src/node/settings.cpp src/wire/codec.cpp src/wire/compression.cpp)
 printf '%s\n' "${kDecisions[@]}" |
