A stream that its client resumes is taken up after its Last-Event-Id on every service

Change: it is taken when the request is admitted. Test: StreamsWithGarbage.AStreamThatAClientResumesAfterItsLastEventIsWhole (with engines).

--- a/src/data_plane/generation_flow.cpp
+++ b/src/data_plane/generation_flow.cpp
@@ -47,7 +47,6 @@
 }
 
 Awaitable<void> RequestFlow::RunGeneration() {
-  if (route_->resumable) events_.ContinueAfter(request()["Last-Event-Id"]);
   for (int attempts = 0; attempts < kMaxAttempts && !client_.disconnected() && !OutOfTime(); ++attempts) {
     const auto target = co_await NextTarget();
     if (client_.disconnected()) break;
--- a/src/data_plane/request_flow.cpp
+++ b/src/data_plane/request_flow.cpp
@@ -104,6 +104,7 @@
   client_deadline_ = ParseMilliseconds(request()["Deadline-Ms"]);
   give_up_at_ =
       read_at_ + std::min<milliseconds>(route_->timeout, client_deadline_.value_or(route_->timeout));
+  if (route_->resumable) events_.ContinueAfter(request()[kLastEventId]);
   const bool streams = route_->type == configuration::RouteType::kStreaming;
   const ResponseMode mode = streams ? ResponseMode::kStreamed : ResponseMode::kBuffered;
   if (!state_.drain.Admits(read_at_, give_up_at_, mode)) return false;
--- a/tests/router_fleet/garbage_test.cpp
+++ b/tests/router_fleet/garbage_test.cpp
@@ -84,6 +84,19 @@
   });
 }
 
+TEST(StreamsWithGarbage, AStreamThatAClientResumesAfterItsLastEventIsWhole) {
+  Fleet fleet(ManyRetries());
+  ASSERT_TRUE(fleet.Begin(true));
+  const Answer rest = fleet.Send(0, "/llm/x", "r1", kPromptFields + "Last-Event-Id: 3\r\n");
+  EXPECT_EQ(ChunkedBody(rest.text), fleet_standin::EventText(4, "") + fleet_standin::EventText(5, ""));
+  EXPECT_TRUE(rest.ended_well);
+  const Answer nothing = fleet.Send(0, "/llm/x", "r2", kPromptFields + "Last-Event-Id: 5\r\n");
+  EXPECT_EQ(nothing.status, 200);
+  EXPECT_TRUE(nothing.ended_well);
+  EXPECT_EQ(ChunkedBody(nothing.text), "");
+  EXPECT_EQ(fleet.Runs("r2"), 1);
+}
+
 // --- other messages of backends ---
 
 TEST(BackendGarbage, ASpoiledHeadIsNotForwardedAndAResumableStreamRunsElsewhere) {
